Check the format of files that are not committed yet as well

Cause: the format check listed tracked files only, so a file that was new passed it unformatted (scheduler/messages.go did). Change: untracked files that are not ignored are checked too; the file is formatted. Conclusion: gofmt -l lists nothing.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 test: format-check vet lint unit
 
 format-check:
-	@out=$$(gofmt -l $$(git ls-files '*.go')); \
+	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard "*.go")); \
 	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 vet:
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -51,22 +51,22 @@
 
 // Queued tells the gateway that a reservation waits.
 type Queued struct {
-	ID       uint64
+	ID uint64
 	// WaitMs is the estimated wait in milliseconds.
 	WaitMs uint32
 }
 
 // Infeasible refuses a reservation or withdraws a queued one.
 type Infeasible struct {
-	ID       uint64
-	Reason   InfeasibleReason
+	ID     uint64
+	Reason InfeasibleReason
 	// RetryAfterMs is when the caller may come back, in milliseconds.
 	RetryAfterMs uint32
 }
 
 // Grant offers a slot of a backend server to a reservation.
 type Grant struct {
-	ID       uint64
+	ID uint64
 	// GrantID is unique for the scheduler's lifetime.
 	GrantID uint64
 	Server  string
@@ -76,30 +76,30 @@
 
 // Accept takes a granted slot.
 type Accept struct {
-	GrantID  uint64
-	ID       uint64
-	Server   string
+	GrantID uint64
+	ID      uint64
+	Server  string
 }
 
 // Decline returns a granted slot unused.
 type Decline struct {
-	GrantID  uint64
-	ID       uint64
-	Server   string
+	GrantID uint64
+	ID      uint64
+	Server  string
 }
 
 // Cancel withdraws a reservation.
 type Cancel struct {
-	ID       uint64
+	ID uint64
 }
 
 // Done returns an accepted slot with what was observed.
 type Done struct {
-	GrantID  uint64
-	ID       uint64
-	Server   string
-	Outcome  Outcome
-	Tokens   uint32
+	GrantID uint64
+	ID      uint64
+	Server  string
+	Outcome Outcome
+	Tokens  uint32
 	// FirstTokenMs is the time from dispatch to the first token, in
 	// milliseconds; zero if there was none.
 	FirstTokenMs uint32
@@ -121,15 +121,15 @@
 // Declare lists all requests the gateway has in flight on the servers that the
 // scheduler asked about. It answers a DeclareRequest.
 type Declare struct {
-	Seq      uint64
-	Running  []Running
+	Seq     uint64
+	Running []Running
 }
 
 // DeclareRequest asks a gateway what it has in flight on the named servers. A
 // scheduler sends it to every daemon when it takes over servers.
 type DeclareRequest struct {
-	Seq      uint64
-	Servers  []string
+	Seq     uint64
+	Servers []string
 }
 
 // Kind implements peer.Message.
