--- /dev/null
+++ b/policy/assign.go
@@ -0,0 +1,101 @@
+package policy
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Why rendezvous hashing: every daemon works out the owner of a backend server
+// from its own view, without a lease or a vote. When a daemon joins or leaves,
+// only its own servers move, and no table has to be agreed on.
+
+// Assign returns the daemon that schedules a backend server, or "" if there
+// are no daemons. The result does not depend on the order of the daemons.
+func Assign(server string, daemons []string) string {
+	h := xxhash.Sum64String(server)
+	best := -1
+	var bestScore uint64
+	for i, d := range daemons {
+		s := pairHash(h, xxhash.Sum64String(d))
+		if best < 0 || s > bestScore || s == bestScore && d < daemons[best] {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return daemons[best]
+}
+
+// Owners returns the owner of each server, in the order of the servers.
+func Owners(servers, daemons []string) []string {
+	hashes := make([]uint64, len(daemons))
+	for i, d := range daemons {
+		hashes[i] = xxhash.Sum64String(d)
+	}
+	owners := make([]string, len(servers))
+	for i, s := range servers {
+		owners[i] = highest(xxhash.Sum64String(s), daemons, hashes)
+	}
+	return owners
+}
+
+// Assignment maps the servers of a pool to the daemons that schedule them. It
+// is computed once for each change of the membership.
+type Assignment struct {
+	// Servers are the pool's servers; Owners holds the owner of each.
+	Servers []string
+	Owners  []string
+	// Schedulers are the distinct owners, sorted.
+	Schedulers []string
+}
+
+// NewAssignment assigns servers to daemons.
+func NewAssignment(servers, daemons []string) Assignment {
+	owners := Owners(servers, daemons)
+	distinct := slices.Clone(owners)
+	slices.Sort(distinct)
+	distinct = slices.Compact(distinct)
+	if len(daemons) == 0 {
+		distinct = nil
+	}
+	return Assignment{Servers: servers, Owners: owners, Schedulers: distinct}
+}
+
+// PreferredServer returns the index of the server that a prompt prefix maps to
+// by rendezvous hashing, or -1 if there are none.
+func (a Assignment) PreferredServer(prefix uint64) int {
+	best := -1
+	var bestScore uint64
+	for i, s := range a.Servers {
+		score := pairHash(prefix, xxhash.Sum64String(s))
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+func highest(h uint64, names []string, hashes []uint64) string {
+	best := -1
+	var bestScore uint64
+	for i, dh := range hashes {
+		s := pairHash(h, dh)
+		if best < 0 || s > bestScore || s == bestScore && names[i] < names[best] {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return names[best]
+}
+
+func pairHash(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
