Decide order, admission and servers as pure code

Cause: a queue sorted by tier and deadline lets one customer's burst delay all others, starves the lowest class, and admits what will miss its target. Change: strict tiers; within a tier deficit round robin by customer with deadlines and owner claims; a starvation allowance; eviction from the lowest tier; early refusal from estimated waits; adaptive slots, stragglers, output lengths, retry budgets and the choice of schedulers.

--- /dev/null
+++ b/policy/adapt_test.go
@@ -0,0 +1,183 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var chatTarget = Target{FirstToken: 1600 * time.Millisecond, TokenGap: 75 * time.Millisecond, Promise: 0.95}
+
+// runServer feeds finished requests of a server whose token gap grows with the
+// slots in use.
+func runServer(s *Slots, gapPerSlot time.Duration, requests int) {
+	now := epoch
+	for range requests {
+		s.Used(s.Limit())
+		gap := time.Duration(s.Limit()) * gapPerSlot
+		s.Observe(now, Observation{FirstToken: time.Second, TokenGap: gap, Target: chatTarget})
+		now = now.Add(200 * time.Millisecond)
+	}
+}
+
+func TestSlotsSettleAroundTheTarget(t *testing.T) {
+	for _, initial := range []int{2, 60} {
+		s := NewSlots(initial, 64)
+		// 15 slots are the most that meet 75 ms a token.
+		runServer(&s, 5*time.Millisecond, 3000)
+		assert.Assert(t, s.Limit() >= 11 && s.Limit() <= 16, "from %d to %d", initial, s.Limit())
+	}
+}
+
+func TestUnusedSlotsDoNotGrow(t *testing.T) {
+	s := NewSlots(4, 64)
+	for i := range 100 {
+		s.Used(2)
+		s.Observe(epoch.Add(time.Duration(i)*time.Second), Observation{Target: chatTarget})
+	}
+	assert.Equal(t, s.Limit(), 4)
+}
+
+func TestStragglerIsProbedAndReturnsGradually(t *testing.T) {
+	var h Health
+	now := epoch
+	slow, sound := Observation{TokenGap: 400 * time.Millisecond}, Observation{TokenGap: 40 * time.Millisecond}
+	reference := 40 * time.Millisecond
+	for range minSpeedSamples {
+		h.Observe(now, slow, reference)
+	}
+	assert.Equal(t, h.State(), Probing)
+	assert.Equal(t, h.Cap(now, 8), 0)
+	now = now.Add(minProbeInterval)
+	assert.Equal(t, h.Cap(now, 8), 1)
+	h.Probe(now)
+	assert.Equal(t, h.Cap(now, 8), 0)
+	for range goodProbes {
+		h.Observe(now, sound, reference)
+	}
+	assert.Equal(t, h.State(), Returning)
+	for width := 1; width < 8; width++ {
+		assert.Equal(t, h.Cap(now, 8), width)
+		h.Observe(now, sound, reference)
+		h.Settle(8)
+	}
+	assert.Equal(t, h.State(), Healthy)
+}
+
+func TestSilentServerIsIsolatedWithGrowingPauses(t *testing.T) {
+	var h Health
+	now := epoch
+	for range maxFailuresInRow {
+		h.Observe(now, Observation{Failed: true}, 0)
+	}
+	first := h.interval
+	h.Observe(now, Observation{Failed: true}, 0)
+	assert.Equal(t, h.interval, 2*first)
+	for range 20 {
+		h.Observe(now, Observation{Failed: true}, 0)
+	}
+	assert.Equal(t, h.interval, maxProbeInterval)
+}
+
+func TestReferenceIsTheMedianOfEnoughServers(t *testing.T) {
+	assert.Equal(t, Reference([]time.Duration{5, 900, 7}, 75), time.Duration(7))
+	assert.Equal(t, Reference([]time.Duration{5, 900}, 75), time.Duration(75))
+}
+
+func TestLengthsByClassAndCustomer(t *testing.T) {
+	l := NewLengths()
+	assert.Equal(t, l.Quantile("chat", "a", 0.5), uint32(defaultLength))
+	for i := range 200 {
+		l.Observe("chat", "short", 100)
+		l.Observe("chat", "long", uint32(2000+i))
+	}
+	short, long := l.Quantile("chat", "short", 0.5), l.Quantile("chat", "long", 0.5)
+	// The estimate is a bucket's upper bound.
+	assert.Assert(t, short >= 100 && float64(short) <= 100*bucketGrowth, "%d", short)
+	assert.Assert(t, long >= 2000 && float64(long) <= 2200*bucketGrowth, "%d", long)
+	assert.Equal(t, l.Quantile("chat", "unknown", 0.25), short)
+	assert.Assert(t, l.Remaining("chat", "long", 1000) >= 900)
+}
+
+func TestLengthsForgetOldTraffic(t *testing.T) {
+	l := NewLengths()
+	for range 5000 {
+		l.Observe("chat", "a", 4000)
+	}
+	for range 4 * maxLengthCount {
+		l.Observe("chat", "a", 50)
+	}
+	assert.Assert(t, l.Quantile("chat", "a", 0.9) < 100)
+}
+
+func TestRetryBudgetIsAShareOfFirstTries(t *testing.T) {
+	var b RetryBudget
+	retries := 0
+	for range 1000 {
+		b.FirstTry(0.1)
+		if b.Allow() {
+			retries++
+		}
+	}
+	assert.Assert(t, retries >= 99 && retries <= 100, "%d", retries)
+	for range 1000 {
+		b.FirstTry(0.1)
+	}
+	burst := 0
+	for b.Allow() {
+		burst++
+	}
+	assert.Equal(t, burst, int(maxRetryTokens))
+}
+
+func TestBackoffIsBounded(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for attempt := range 100 {
+		d := Backoff(attempt, rnd)
+		assert.Assert(t, d > 0 && d <= backoffMax+time.Millisecond)
+	}
+}
+
+func TestChooseIsDistinctAndFollowsThePrefix(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	a := NewAssignment(names("s", 20), names("d", 7))
+	for prefix := uint64(1); prefix < 50; prefix++ {
+		got := Choose(a, prefix, 3, rnd)
+		assert.Equal(t, len(got), 3)
+		assert.Equal(t, got[0], a.Owners[a.PreferredServer(prefix)])
+		sorted := slices.Clone(got)
+		slices.Sort(sorted)
+		assert.Equal(t, len(slices.Compact(sorted)), 3)
+	}
+	assert.Equal(t, len(Choose(a, 0, 99, rnd)), len(a.Schedulers))
+	assert.Equal(t, len(Choose(Assignment{}, 1, 3, rnd)), 0)
+}
+
+func TestWidenAsksMoreForHigherTiers(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	a := NewAssignment(names("s", 200), names("d", 32))
+	asked := Choose(a, 0, 3, rnd)
+	rest := len(a.Schedulers) - 3
+	assert.Equal(t, len(Widen(a, asked, 0, 7, rnd)), rest)
+	assert.Equal(t, len(Widen(a, asked, 2, 7, rnd)), rest/4)
+	assert.Equal(t, len(Widen(a, asked, 7, 7, rnd)), 0)
+}
+
+func TestWaitEstimateSubtractsTheAllowance(t *testing.T) {
+	l := NewLoad()
+	for range minLoadSamples {
+		l.Finished(2*time.Second, 100)
+		l.Left(true)
+	}
+	l.kept = 1
+	assert.Assert(t, l.Trusted())
+	// 1,000 tokens ahead are 20 s of slot time, and a slot frees after 2 s.
+	want := 22.0 / (10 * (1 - allowanceShare))
+	got := l.Wait(1000, 10).Seconds()
+	assert.Assert(t, got > 0.99*want && got < 1.01*want, "%v, expected %v", got, want)
+	assert.Equal(t, RetryAfter(3*time.Second, time.Second), 2*time.Second)
+	assert.Equal(t, RetryAfter(0, time.Second), minRetryAfter)
+}
--- /dev/null
+++ b/policy/classqueue.go
@@ -0,0 +1,36 @@
+package policy
+
+// classQueue orders the reservations of a class by age, for the starvation
+// allowance. A heap and not a list, because requests that lost their scheduler
+// come back with the wait they had.
+type classQueue struct {
+	heap[*item]
+}
+
+func newClassQueue() *classQueue {
+	return &classQueue{heap[*item]{
+		less:  olderThan,
+		place: func(it *item, i int) { it.classPos = i },
+	}}
+}
+
+func olderThan(a, b *item) bool {
+	if !a.Arrived.Equal(b.Arrived) {
+		return a.Arrived.Before(b.Arrived)
+	}
+	return a.seq < b.seq
+}
+
+// oldestFitting returns the oldest reservation that fits, or nil.
+func (c *classQueue) oldestFitting(fits func(*Reservation) bool) *item {
+	if fits == nil || fits(&c.top().Reservation) {
+		return c.top()
+	}
+	var oldest *item
+	for _, it := range c.items {
+		if fits(&it.Reservation) && (oldest == nil || olderThan(it, oldest)) {
+			oldest = it
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/policy/estimate.go
@@ -0,0 +1,128 @@
+package policy
+
+import "math"
+
+// Why quantiles by class and customer: output lengths are unknown in advance
+// and differ by orders of magnitude, so a mean says little about one request.
+// A histogram with geometric buckets answers any quantile in constant space;
+// halving its counts forgets old traffic.
+
+const (
+	lengthBuckets = 48
+	// bucketGrowth is the ratio of neighbouring bucket bounds.
+	bucketGrowth = 1.3
+	// maxLengthCount is the number of observations after which counts halve.
+	maxLengthCount = 512
+	// minLengthCount is the number of observations below which a customer's
+	// estimate falls back to its class.
+	minLengthCount = 16
+	// defaultLength is the estimate in tokens before any observation.
+	defaultLength = 256
+)
+
+// Lengths estimates output lengths in tokens by class and customer.
+type Lengths struct {
+	classes   map[string]*histogram
+	customers map[lengthKey]*histogram
+}
+
+type lengthKey struct{ class, customer string }
+
+// NewLengths returns an estimator without observations.
+func NewLengths() *Lengths {
+	return &Lengths{classes: map[string]*histogram{}, customers: map[lengthKey]*histogram{}}
+}
+
+// Observe records the output length of a finished request.
+func (l *Lengths) Observe(class, customer string, tokens uint32) {
+	c := l.classes[class]
+	if c == nil {
+		c = &histogram{}
+		l.classes[class] = c
+	}
+	c.add(float64(tokens))
+	key := lengthKey{class, customer}
+	h := l.customers[key]
+	if h == nil {
+		h = &histogram{}
+		l.customers[key] = h
+	}
+	h.add(float64(tokens))
+}
+
+// Quantile returns the estimated length, in tokens, that a share q of the
+// requests does not exceed.
+func (l *Lengths) Quantile(class, customer string, q float64) uint32 {
+	if h := l.customers[lengthKey{class, customer}]; h != nil && h.count >= minLengthCount {
+		return uint32(h.quantile(q))
+	}
+	if h := l.classes[class]; h != nil && h.count > 0 {
+		return uint32(h.quantile(q))
+	}
+	return defaultLength
+}
+
+// Remaining returns the expected further length, in tokens, of a request that
+// has produced so many already: the median of those that grew longer.
+func (l *Lengths) Remaining(class, customer string, produced uint32) uint32 {
+	h := l.customers[lengthKey{class, customer}]
+	if h == nil || h.count < minLengthCount {
+		h = l.classes[class]
+	}
+	if h == nil || h.count == 0 {
+		return defaultLength
+	}
+	below := h.shareBelow(float64(produced))
+	total := h.quantile(below + (1-below)/2)
+	return uint32(max(1, total-float64(produced)))
+}
+
+// histogram counts values in geometric buckets.
+type histogram struct {
+	counts [lengthBuckets]uint16
+	count  uint32
+}
+
+func bucketOf(v float64) int {
+	if v <= 1 {
+		return 0
+	}
+	return min(lengthBuckets-1, int(math.Ceil(math.Log(v)/math.Log(bucketGrowth))))
+}
+
+func (h *histogram) add(v float64) {
+	h.counts[bucketOf(v)]++
+	h.count++
+	if h.count >= maxLengthCount {
+		h.halve()
+	}
+}
+
+func (h *histogram) halve() {
+	h.count = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.count += uint32(h.counts[i])
+	}
+}
+
+// quantile returns the upper bound of the bucket that holds the quantile.
+func (h *histogram) quantile(q float64) float64 {
+	target := q * float64(h.count)
+	seen := 0.0
+	for i, c := range h.counts {
+		seen += float64(c)
+		if seen >= target && seen > 0 {
+			return math.Pow(bucketGrowth, float64(i))
+		}
+	}
+	return math.Pow(bucketGrowth, lengthBuckets-1)
+}
+
+func (h *histogram) shareBelow(v float64) float64 {
+	seen := 0.0
+	for i := range bucketOf(v) {
+		seen += float64(h.counts[i])
+	}
+	return seen / float64(h.count)
+}
--- /dev/null
+++ b/policy/slots.go
@@ -0,0 +1,100 @@
+package policy
+
+import "time"
+
+// Why slots adapt: the number of requests a model engine can batch within the
+// latency targets depends on the model, the prompts and the machine, and is not
+// known in advance. Additive increase while the targets hold and the slots are
+// in use, and multiplicative decrease when more requests miss than the class
+// promises, finds it and follows it.
+
+const (
+	slotsDecrease = 0.8
+	slotsIncrease = 1.0
+	// minSlotWindow is the least number of finished requests judged together.
+	minSlotWindow = 8
+	// minSlotPeriod is the least time between two changes.
+	minSlotPeriod = time.Second
+)
+
+// Target holds the latency targets that a finished request is judged by. Zero
+// means no target.
+type Target struct {
+	FirstToken time.Duration
+	TokenGap   time.Duration
+	// Promise is the share of requests that meet the targets, 0 to 1.
+	Promise float64
+}
+
+// Observation is what a finished request showed about its server.
+type Observation struct {
+	// FirstToken is the time from dispatch to the first token; zero if there
+	// was none.
+	FirstToken time.Duration
+	// TokenGap is the mean time between tokens; zero if unknown.
+	TokenGap time.Duration
+	Target   Target
+	// Failed is set when the server broke the request or fell silent.
+	Failed bool
+}
+
+// Misses reports whether the request missed one of its targets.
+func (o Observation) Misses() bool {
+	late := o.Target.FirstToken > 0 && o.FirstToken > o.Target.FirstToken
+	slow := o.Target.TokenGap > 0 && o.TokenGap > o.Target.TokenGap
+	return o.Failed || late || slow
+}
+
+// Slots is the adaptive number of concurrent requests of one server.
+type Slots struct {
+	limit     float64
+	max       int
+	finished  int
+	misses    float64
+	allowed   float64
+	saturated bool
+	changed   time.Time
+}
+
+// NewSlots starts at the initial number. A maximum at or below it fixes the
+// number.
+func NewSlots(initial, maximum int) Slots {
+	initial = max(1, initial)
+	return Slots{limit: float64(initial), max: max(initial, maximum)}
+}
+
+// Limit returns the present number of slots, at least one.
+func (s *Slots) Limit() int { return max(1, int(s.limit)) }
+
+// Bound applies a new maximum.
+func (s *Slots) Bound(maximum int) {
+	s.max = max(1, maximum)
+	s.limit = min(s.limit, float64(s.max))
+}
+
+// Used records the number of slots in use after a grant.
+func (s *Slots) Used(n int) {
+	if n >= s.Limit() {
+		s.saturated = true
+	}
+}
+
+// Observe judges a finished request and may change the number of slots.
+func (s *Slots) Observe(now time.Time, o Observation) {
+	s.finished++
+	if o.Misses() {
+		s.misses++
+	}
+	s.allowed += 1 - o.Target.Promise
+	if s.finished < max(minSlotWindow, s.Limit()) || now.Sub(s.changed) < minSlotPeriod {
+		return
+	}
+	// One miss alone is within any promise below one.
+	if s.misses > max(1, s.allowed) {
+		s.limit = max(1, s.limit*slotsDecrease)
+	} else if s.saturated && s.misses <= s.allowed {
+		s.limit = min(float64(s.max), s.limit+slotsIncrease)
+	}
+	s.finished, s.misses, s.allowed, s.saturated = 0, 0, 0, false
+	s.changed = now
+}
