Place reservations with several schedulers and take the first grant

Cause: the gateway needs its side of the scheduling protocol. Change: package reservation asks up to d schedulers (one by prompt prefix, the rest at random by servers owned), accepts the first grant, declines or cancels the others, repeats unanswered reservations, replaces schedulers that left, asks more widely the higher the tier before it refuses, and declares its running requests. Messages are sent after the lock is released, because the bus may deliver to the local daemon within Send.

--- /dev/null
+++ b/reservation/protocol.go
@@ -0,0 +1,233 @@
+package reservation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/scheduler"
+)
+
+// reservation is one request waiting for a slot.
+type reservation struct {
+	id      uint64
+	spec    Spec
+	asked   map[string]*ask
+	settled bool
+	result  chan result
+}
+
+// ask is the state of a reservation at one scheduler.
+type ask struct {
+	sentAt  time.Time
+	queued  bool
+	refused bool
+	// retryAfter is the scheduler's estimate for a refused reservation and the
+	// estimated wait for a queued one.
+	retryAfter time.Duration
+}
+
+// result ends a reservation with a slot or a refusal.
+type result struct {
+	slot    *Slot
+	refusal *Refusal
+}
+
+func (r result) err() error {
+	if r.refusal == nil {
+		return nil
+	}
+	return r.refusal
+}
+
+// retryAfter returns the shortest estimate of the asked schedulers.
+func (r *reservation) retryAfter() time.Duration {
+	var best time.Duration
+	for _, a := range r.asked {
+		if a.retryAfter > 0 && (best == 0 || a.retryAfter < best) {
+			best = a.retryAfter
+		}
+	}
+	if best == 0 {
+		return defaultRetryAfter
+	}
+	return best
+}
+
+// open reports whether some scheduler may still grant.
+func (r *reservation) open() bool {
+	for _, a := range r.asked {
+		if !a.refused {
+			return true
+		}
+	}
+	return false
+}
+
+// ask sends the reservation to a scheduler. The caller holds m.mu.
+func (m *Manager) ask(r *reservation, name string) {
+	now := time.Now()
+	r.asked[name] = &ask{sentAt: now}
+	m.send(name, r.message(now))
+}
+
+func (r *reservation) message(now time.Time) *scheduler.Reserve {
+	return &scheduler.Reserve{
+		ID:         r.id,
+		Pool:       r.spec.Pool.Name,
+		Class:      r.spec.Class.Name,
+		Customer:   r.spec.Customer,
+		DeadlineMs: uint32(max(r.spec.Target.Sub(now).Milliseconds(), 0)),
+		Cost:       r.spec.Cost,
+		Prefix:     r.spec.Prefix,
+		Avoid:      r.spec.Avoid,
+		WaitedMs:   uint32(max(now.Sub(r.spec.Arrived).Milliseconds(), 0)),
+		Trace:      r.spec.Trace,
+	}
+}
+
+func (m *Manager) onQueued(from string, msg peer.Message) {
+	q := msg.(*scheduler.Queued)
+	m.mu.Lock()
+	defer m.unlock()
+	r := m.waiting[q.ID]
+	if r == nil {
+		// The cancel of a settled reservation was lost or overtaken.
+		m.send(from, &scheduler.Cancel{ID: q.ID})
+		return
+	}
+	if a := r.asked[from]; a != nil {
+		a.queued = true
+		a.retryAfter = time.Duration(q.WaitMs) * time.Millisecond
+	}
+}
+
+func (m *Manager) onInfeasible(from string, msg peer.Message) {
+	inf := msg.(*scheduler.Infeasible)
+	m.mu.Lock()
+	defer m.unlock()
+	r := m.waiting[inf.ID]
+	if r == nil {
+		return
+	}
+	a := r.asked[from]
+	if a == nil || a.refused {
+		return
+	}
+	a.refused = true
+	a.retryAfter = time.Duration(inf.RetryAfterMs) * time.Millisecond
+	if r.open() {
+		return
+	}
+	m.widen(r, inf.Reason)
+}
+
+// widen asks more schedulers after all asked ones refused: the higher the tier
+// the more, and refuses when none is left. The caller holds m.mu.
+func (m *Manager) widen(r *reservation, reason scheduler.InfeasibleReason) {
+	more := bundle.MaxTiers - 1 - r.spec.Class.Tier
+	if reason == scheduler.ReasonStopping || reason == scheduler.ReasonNoServer {
+		more = max(more, 1)
+	}
+	names := m.choose(r, more)
+	if len(names) == 0 {
+		m.refuse(r, reason)
+		return
+	}
+	m.widened.Inc(1)
+	for _, name := range names {
+		m.ask(r, name)
+	}
+}
+
+func (m *Manager) onGrant(from string, msg peer.Message) {
+	g := msg.(*scheduler.Grant)
+	key := grantKey{scheduler: from, id: g.GrantID}
+	m.mu.Lock()
+	defer m.unlock()
+	if m.running[key] != nil {
+		m.send(from, &scheduler.Accept{GrantID: g.GrantID, ID: g.ID, Server: g.Server})
+		return
+	}
+	r := m.waiting[g.ID]
+	if r == nil {
+		m.decline(from, g)
+		return
+	}
+	srv, ok := m.cfg.View.Server(g.Server)
+	if !ok || srv.Leaving || slices.Contains(r.spec.Avoid, g.Server) {
+		m.decline(from, g)
+		m.ask(r, from)
+		return
+	}
+	slot := &Slot{
+		Server:  srv,
+		manager: m,
+		key:     key,
+		running: scheduler.Running{
+			ID:       g.ID,
+			GrantID:  g.GrantID,
+			Server:   g.Server,
+			Class:    r.spec.Class.Name,
+			Customer: r.spec.Customer,
+		},
+	}
+	m.running[key] = slot
+	m.granted.Inc(1)
+	m.send(from, &scheduler.Accept{GrantID: g.GrantID, ID: g.ID, Server: g.Server})
+	m.settle(r, from)
+	r.result <- result{slot: slot}
+}
+
+// decline returns a grant unused. The caller holds m.mu.
+func (m *Manager) decline(to string, g *scheduler.Grant) {
+	m.declined.Inc(1)
+	m.send(to, &scheduler.Decline{GrantID: g.GrantID, ID: g.ID, Server: g.Server})
+}
+
+func (m *Manager) onDeclareRequest(from string, msg peer.Message) {
+	req := msg.(*scheduler.DeclareRequest)
+	m.mu.Lock()
+	defer m.unlock()
+	answer := &scheduler.Declare{Seq: req.Seq}
+	for _, s := range m.running {
+		if slices.Contains(req.Servers, s.Server.Name) {
+			answer.Running = append(answer.Running, s.running)
+		}
+	}
+	m.send(from, answer)
+}
+
+// refresh repeats unanswered and old reservations and replaces schedulers that
+// are gone.
+func (m *Manager) refresh(r *reservation) {
+	m.mu.Lock()
+	defer m.unlock()
+	if r.settled {
+		return
+	}
+	now := time.Now()
+	live := m.cfg.View.Schedulers()
+	for name, a := range r.asked {
+		if !slices.Contains(live, name) {
+			delete(r.asked, name)
+			continue
+		}
+		if a.refused {
+			continue
+		}
+		age := now.Sub(a.sentAt)
+		if (!a.queued && age >= ackTimeout) || age >= renewInterval {
+			a.sentAt = now
+			m.renewed.Inc(1)
+			m.send(name, r.message(now))
+		}
+	}
+	for _, name := range m.choose(r, m.cfg.Count-len(r.asked)) {
+		m.ask(r, name)
+	}
+	if len(r.asked) == 0 {
+		m.refuse(r, scheduler.ReasonNoServer)
+	}
+}
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -47,6 +47,8 @@
 	Avoid []string
 	// WaitedMs is how long the request has waited already, in milliseconds.
 	WaitedMs uint32
+	// Trace is the W3C traceparent of the request; empty if it is not sampled.
+	Trace string
 }
 
 // Queued tells the gateway that a reservation waits.
