Report faults of JSON input with their places

Cause: settings and bundles are written by hand; an operator needs every fault of a file at once, with line, column and field. encoding/json stops at the first one, ignores unknown and doubled fields and gives no line. Excluded: recovery after a syntax error; the parser stops at the first one, so a file with wrong syntax has one finding.

--- /dev/null
+++ b/jsonc/document.go
@@ -0,0 +1,79 @@
+package jsonc
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/jacinththread/jacinththread/finding"
+)
+
+// Document remembers where each field of a decoded input stands.
+type Document struct {
+	file string
+	data []byte
+	// offsets maps the path of each field to the byte offset of its value.
+	offsets map[string]int
+}
+
+func newDocument(file string, data []byte) *Document {
+	return &Document{file: file, data: data, offsets: map[string]int{}}
+}
+
+// Finding returns a finding about a field, such as classes[2].tier. It is
+// placed at the field's value, or at its nearest parent that the input has.
+func (d *Document) Finding(field, format string, args ...any) finding.Finding {
+	return d.at(d.offsetOf(field), field, fmt.Sprintf(format, args...))
+}
+
+// Has reports whether the input gives a value for the field.
+func (d *Document) Has(field string) bool {
+	_, ok := d.offsets[field]
+	return ok
+}
+
+func (d *Document) offsetOf(field string) int {
+	for {
+		if offset, ok := d.offsets[field]; ok {
+			return offset
+		}
+		if field == "" {
+			return 0
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+}
+
+// at returns a finding at a byte offset.
+func (d *Document) at(offset int, field, message string) finding.Finding {
+	line, column := d.place(offset)
+	return finding.Finding{
+		File: d.file, Line: line, Column: column, Field: field, Message: message,
+	}
+}
+
+// place returns the line and column, both from 1, of a byte offset.
+func (d *Document) place(offset int) (line, column int) {
+	before := d.data[:min(offset, len(d.data))]
+	line = 1 + bytes.Count(before, []byte("\n"))
+	start := 1 + bytes.LastIndexByte(before, '\n')
+	return line, 1 + utf8.RuneCount(before[start:])
+}
+
+// syntaxPlace matches the place at the start of the parser's errors.
+var syntaxPlace = regexp.MustCompile(`^hujson: line (\d+), column (\d+): `)
+
+func (d *Document) syntaxFinding(err error) finding.Finding {
+	text := err.Error()
+	f := finding.Finding{File: d.file, Line: 1, Column: 1}
+	if m := syntaxPlace.FindStringSubmatch(text); m != nil {
+		f.Line, _ = strconv.Atoi(m[1])
+		f.Column, _ = strconv.Atoi(m[2])
+		text = text[len(m[0]):]
+	}
+	f.Message = "syntax error: " + strings.TrimPrefix(text, "hujson: ")
+	return f
+}
