--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -21,16 +21,13 @@
 }
 
 // Do sends a call and reads its whole answer. Answers of any status are
-// returned, but for 503, which is an error.
+// returned, but for a 503 that refuses the call, which is an error.
 func (c *Client) Do(ctx context.Context, srv membership.Server, call Call) (*Answer, error) {
 	resp, err := c.open(ctx, srv, call, c.silence)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.close()
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return nil, trace.Wrap(refusal(resp), "server %s", srv.Name)
-	}
 	body, err := io.ReadAll(io.LimitReader(&progressReader{resp.Body, resp.watch}, maxAnswerBytes+1))
 	if err != nil {
 		return nil, trace.Wrap(c.classify(resp.Request.Context(), err, true), "server %s", srv.Name)
@@ -38,9 +35,26 @@
 	if len(body) > maxAnswerBytes {
 		return nil, trace.Wrap(fmt.Errorf("%w: it exceeds %d bytes", ErrBroken, maxAnswerBytes), "server %s", srv.Name)
 	}
+	if err := notTaken(resp.StatusCode, body, call.Once); err != nil {
+		return nil, trace.Wrap(err, "server %s", srv.Name)
+	}
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// notTaken returns the error of a server that refused a call. A call sent once
+// counts as refused only if the server says that it is leaving: any other 503
+// may come after the call had an effect.
+func notTaken(status int, body []byte, once bool) error {
+	if status != http.StatusServiceUnavailable {
+		return nil
+	}
+	err := unavailable(body)
+	if once && err != ErrDraining {
+		return nil
+	}
+	return err
+}
+
 // progressReader reports each read to a watchdog.
 type progressReader struct {
 	r     io.Reader
