Count the tokens of chunks that hold several

Cause: engines may send several tokens in a chunk, which the offset check took for a gap. Change: a chunk may give its number of tokens; absent means one. Conclusion: dispatch tests pass.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -37,7 +37,9 @@
 	Object string `json:"object"`
 	Model  string `json:"model"`
 	// Offset is the index of the chunk's first token, if the engine gives it.
-	Offset  *int            `json:"offset,omitempty"`
+	Offset *int `json:"offset,omitempty"`
+	// Tokens is the number of tokens in the chunk; absent means one.
+	Tokens  *int            `json:"tokens,omitempty"`
 	Choices []Choice        `json:"choices"`
 	Usage   json.RawMessage `json:"usage,omitempty"`
 }
@@ -50,6 +52,13 @@
 	return c.Choices[0].Delta.Content + c.Choices[0].Text
 }
 
+func (c *Chunk) count() int {
+	if c.Tokens == nil {
+		return 1
+	}
+	return *c.Tokens
+}
+
 // Event is one server-sent event of a stream.
 type Event struct {
 	// Data is the event as the engine sent it.
@@ -78,7 +87,6 @@
 	opened time.Time
 	first  time.Time
 	last   time.Time
-	done   bool
 }
 
 // OpenStream sends a call whose answer is a stream that starts at a token
@@ -108,24 +116,21 @@
 // Next returns the next event. It returns io.EOF after the terminal marker and
 // ErrBroken if the stream ends before.
 func (s *Stream) Next() (Event, error) {
-	for {
-		data, err := s.readData()
-		if err != nil {
-			return Event{}, trace.Wrap(s.failure(err), "server %s", s.server)
-		}
-		if bytes.Equal(data, []byte("[DONE]")) {
-			s.done = true
-			return Event{}, io.EOF
-		}
-		ev := Event{Data: data}
-		if err := json.Unmarshal(data, &ev.Chunk); err != nil {
-			return Event{}, trace.Wrap(fmt.Errorf("%w: %v", ErrBroken, err), "server %s", s.server)
-		}
-		if err := s.advance(&ev.Chunk); err != nil {
-			return Event{}, trace.Wrap(err, "server %s", s.server)
-		}
-		return ev, nil
+	data, err := s.readData()
+	if err != nil {
+		return Event{}, trace.Wrap(s.failure(err), "server %s", s.server)
+	}
+	if bytes.Equal(data, []byte("[DONE]")) {
+		return Event{}, io.EOF
+	}
+	ev := Event{Data: data}
+	if err := json.Unmarshal(data, &ev.Chunk); err != nil {
+		return Event{}, trace.Wrap(fmt.Errorf("%w: %v", ErrBroken, err), "server %s", s.server)
+	}
+	if err := s.advance(&ev.Chunk); err != nil {
+		return Event{}, trace.Wrap(err, "server %s", s.server)
 	}
+	return ev, nil
 }
 
 // failure tells why a read ended early.
@@ -144,7 +149,7 @@
 	if c.Offset == nil && s.from > 0 && s.next == s.from {
 		return fmt.Errorf("%w: the resumed stream carries no offset", ErrOffset)
 	}
-	s.next++
+	s.next += c.count()
 	s.last = time.Now()
 	if s.first.IsZero() {
 		s.first = s.last
