--- /dev/null
+++ b/peer/peertest/bus.go
@@ -0,0 +1,95 @@
+package peertest
+
+import (
+	"sync"
+
+	"github.com/jacinththread/jacinththread/peer"
+)
+
+// bus is one node of a Network.
+type bus struct {
+	net      *Network
+	name     string
+	handlers peer.Handlers
+
+	mu   sync.Mutex
+	down []func(string)
+
+	// The network's lock guards what follows.
+	paused  bool
+	removed bool
+	held    []envelope
+}
+
+// Self implements peer.Bus.
+func (b *bus) Self() string { return b.name }
+
+// Handle implements peer.Bus.
+func (b *bus) Handle(kind peer.Kind, factory func() peer.Message, h peer.Handler) {
+	b.handlers.Register(kind, factory, h)
+}
+
+// OnLinkDown implements peer.Bus.
+func (b *bus) OnLinkDown(f func(name string)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down = append(b.down, f)
+}
+
+func (b *bus) linkDown(name string) {
+	b.mu.Lock()
+	callbacks := b.down
+	b.mu.Unlock()
+	for _, f := range callbacks {
+		f(name)
+	}
+}
+
+// Send implements peer.Bus. Messages to a removed node are lost.
+func (b *bus) Send(to string, m peer.Message) error {
+	frame, err := peer.AppendFrame(nil, m)
+	if err != nil {
+		return err
+	}
+	n := b.net
+	n.mu.Lock()
+	copies, dest, err := n.route(b, to, m.Kind(), len(frame))
+	if copies > 0 && b.paused {
+		for range copies {
+			b.held = append(b.held, envelope{from: b, to: dest, frame: frame})
+		}
+		copies = 0
+	}
+	n.mu.Unlock()
+	for range copies {
+		n.schedule(envelope{from: b, to: dest, frame: frame})
+	}
+	return err
+}
+
+// route counts a message and decides how many copies of it travel. The caller
+// holds the lock.
+func (n *Network) route(b *bus, to string, kind peer.Kind, size int) (int, *bus, error) {
+	if b.removed {
+		return 0, nil, peer.ErrClosed
+	}
+	dest := n.buses[to]
+	if dest == nil && n.links[pair{b.name, to}] == nil {
+		return 0, nil, peer.ErrUnknownPeer
+	}
+	l := n.link(b.name, to)
+	if to == b.name {
+		return 1, dest, nil
+	}
+	s := n.statsOf(b.name)
+	s.MessagesSent++
+	s.BytesSent += size
+	s.SentByKind[kind] += size
+	if dest == nil || l.cut || n.rng.Float64() < n.dropShare {
+		return 0, dest, nil
+	}
+	if n.rng.Float64() < n.doubleShare {
+		return 2, dest, nil
+	}
+	return 1, dest, nil
+}
