Check bundles and keep their versions in the platform's store

Operators need to propose, review, approve and roll versions without a service of the project's own, while replies are lost and operators race.

Parse reports all findings with their place. The digest is taken of the canonical encoding, so comments and layout don't change it. Roll stores the record create-only under a number of its own, then swaps bundle/current from the revision that named the base. A reply that is lost is settled by reading back the change id along the chain of bases; a swap that is repeated carries the same revision, so it takes effect at most once. The loser of a race is told the winner and its version.

--- /dev/null
+++ b/bundle/check.go
@@ -0,0 +1,296 @@
+package bundle
+
+import (
+	"fmt"
+	"path"
+	"regexp"
+	"strings"
+
+	"github.com/jacinththread/jacinththread/finding"
+	"github.com/jacinththread/jacinththread/jsonc"
+)
+
+// Bounds of a bundle's fields.
+const (
+	minOperators      = 2
+	maxSlotsPerServer = 4096
+	maxTargetMs       = 24 * 60 * 60 * 1000
+	maxRetentionHours = 366 * 24
+	maxModelName      = 128
+)
+
+var (
+	nameRule   = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	digestRule = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	methodRule = regexp.MustCompile(`^[A-Z]{1,20}$`)
+
+	emptyTokenDigest = TokenDigest("")
+)
+
+// checker collects the findings about one decoded bundle.
+type checker struct {
+	doc      *jsonc.Document
+	b        *Bundle
+	findings finding.List
+
+	classes, owners, customers, operators map[string]string
+	pools, models                         map[string]string
+	services                              map[string]*Service
+	// digests maps each token digest to the field that gave it first.
+	digests map[string]string
+}
+
+// check returns the findings about a decoded bundle.
+func check(doc *jsonc.Document, b *Bundle) finding.List {
+	c := &checker{
+		doc: doc, b: b,
+		classes: map[string]string{}, owners: map[string]string{},
+		customers: map[string]string{}, operators: map[string]string{},
+		pools: map[string]string{}, models: map[string]string{},
+		services: map[string]*Service{}, digests: map[string]string{},
+	}
+	c.checkClasses()
+	c.checkOwners()
+	c.checkServices()
+	c.checkPools()
+	c.checkCustomers()
+	c.checkOperators()
+	if b.RetentionHours < 1 || b.RetentionHours > maxRetentionHours {
+		c.report("retention_hours", "%d is not between 1 and %d", b.RetentionHours, maxRetentionHours)
+	}
+	return c.findings
+}
+
+func (c *checker) report(field, format string, args ...any) {
+	c.findings = append(c.findings, c.doc.Finding(field, format, args...))
+}
+
+// name checks the form of a name and that it is the first of its kind.
+func (c *checker) name(field, kind, name string, seen map[string]string) {
+	if !nameRule.MatchString(name) {
+		c.report(field, "%s name %q does not match %s", kind, name, nameRule)
+		return
+	}
+	c.unique(field, kind, name, seen)
+}
+
+func (c *checker) unique(field, kind, name string, seen map[string]string) {
+	if first, ok := seen[name]; ok {
+		c.report(field, "%s %q is given twice, first at %s", kind, name, first)
+		return
+	}
+	seen[name] = field
+}
+
+// reference checks that a name was declared.
+func (c *checker) reference(field, kind, name string, seen map[string]string) {
+	if _, ok := seen[name]; !ok {
+		c.report(field, "%s %q does not exist", kind, name)
+	}
+}
+
+func (c *checker) checkClasses() {
+	if len(c.b.Classes) == 0 {
+		c.report("classes", "at least one class is required")
+	}
+	for i, class := range c.b.Classes {
+		at := fmt.Sprintf("classes[%d]", i)
+		c.name(at+".name", "class", class.Name, c.classes)
+		if class.Tier < 0 || class.Tier >= MaxTiers {
+			c.report(at+".tier", "%d is not between 0 and %d", class.Tier, MaxTiers-1)
+		}
+		c.targetMs(at+".first_token_ms", class.FirstTokenMs)
+		c.targetMs(at+".token_gap_ms", class.TokenGapMs)
+		c.targetMs(at+".starvation_ms", class.StarvationMs)
+		if class.Promise <= 0 || class.Promise >= 1 {
+			c.report(at+".promise", "%v is not above 0 and below 1", class.Promise)
+		}
+		if class.OnMiss != Refuse && class.OnMiss != ServeLate {
+			c.report(at+".on_miss", "%q is neither %q nor %q", class.OnMiss, Refuse, ServeLate)
+		}
+		c.share(at+".retry_budget", class.RetryBudget)
+	}
+}
+
+func (c *checker) targetMs(field string, ms int) {
+	if ms < 1 || ms > maxTargetMs {
+		c.report(field, "%d ms is not between 1 and %d", ms, maxTargetMs)
+	}
+}
+
+func (c *checker) share(field string, share float64) {
+	if share < 0 || share > 1 {
+		c.report(field, "%v is not between 0 and 1", share)
+	}
+}
+
+// place is a pattern and where it was given.
+type place struct {
+	field, owner, pattern string
+}
+
+func (c *checker) checkOwners() {
+	var seen []place
+	for i, owner := range c.b.Owners {
+		at := fmt.Sprintf("owners[%d]", i)
+		c.name(at+".name", "owner", owner.Name, c.owners)
+		c.share(at+".share", owner.Share)
+		if len(owner.Servers) == 0 {
+			c.report(at+".servers", "owner %q has no servers", owner.Name)
+		}
+		seen = c.patterns(at+".servers", owner.Name, owner.Servers, seen)
+	}
+}
+
+// patterns checks patterns and that they overlap with none of another holder
+// in seen. It returns seen with the patterns added.
+func (c *checker) patterns(field, holder string, patterns []string, seen []place) []place {
+	for i, p := range patterns {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		if _, err := path.Match(p, ""); err != nil || p == "" {
+			c.report(at, "%q is not a valid pattern", p)
+			continue
+		}
+		for _, s := range seen {
+			if s.owner != holder && overlap(s.pattern, p) {
+				c.report(at, "pattern %q overlaps with %q of %q at %s", p, s.pattern, s.owner, s.field)
+				break
+			}
+		}
+		seen = append(seen, place{field: at, owner: holder, pattern: p})
+	}
+	return seen
+}
+
+func (c *checker) checkServices() {
+	fields := map[string]string{}
+	for i := range c.b.Services {
+		s := &c.b.Services[i]
+		at := fmt.Sprintf("services[%d]", i)
+		c.name(at+".name", "service", s.Name, fields)
+		c.services[s.Name] = s
+		if s.Kind != Engine && s.Kind != Plain {
+			c.report(at+".kind", "%q is neither %q nor %q", s.Kind, Engine, Plain)
+		}
+		methods := map[string]string{}
+		for j, m := range s.SafeMethods {
+			field := fmt.Sprintf("%s.safe_methods[%d]", at, j)
+			if !methodRule.MatchString(m) {
+				c.report(field, "%q is not an HTTP method in upper case", m)
+				continue
+			}
+			c.unique(field, "method", m, methods)
+		}
+		if !c.hasPool(s.Name) {
+			c.report(at+".name", "service %q has no pool", s.Name)
+		}
+	}
+}
+
+func (c *checker) hasPool(service string) bool {
+	for _, p := range c.b.Pools {
+		if p.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) checkPools() {
+	seen := map[string][]place{}
+	for i, p := range c.b.Pools {
+		at := fmt.Sprintf("pools[%d]", i)
+		c.name(at+".name", "pool", p.Name, c.pools)
+		c.slots(at, p)
+		c.poolModels(at, p)
+		servers, field := p.Servers, at+".servers"
+		if len(servers) == 0 {
+			servers = []string{"*"}
+		}
+		seen[p.Service] = c.patterns(field, p.Name, servers, seen[p.Service])
+	}
+}
+
+func (c *checker) slots(at string, p Pool) {
+	if p.Slots < 1 {
+		c.report(at+".slots", "%d is not at least 1", p.Slots)
+	}
+	if p.MaxSlots < p.Slots || p.MaxSlots > maxSlotsPerServer {
+		c.report(at+".max_slots", "%d is not between slots (%d) and %d", p.MaxSlots, p.Slots, maxSlotsPerServer)
+	}
+}
+
+func (c *checker) poolModels(at string, p Pool) {
+	for i, m := range p.Models {
+		field := fmt.Sprintf("%s.models[%d]", at, i)
+		if m == "" || len(m) > maxModelName || strings.ContainsAny(m, " \t\r\n") {
+			c.report(field, "model name %q is empty, longer than %d bytes or has spaces", m, maxModelName)
+			continue
+		}
+		c.unique(field, "model", m, c.models)
+	}
+	s, ok := c.services[p.Service]
+	switch {
+	case !ok:
+		c.report(at+".service", "service %q does not exist", p.Service)
+	case s.Kind == Engine && len(p.Models) == 0:
+		c.report(at+".models", "pool %q of an engine service has no models", p.Name)
+	case s.Kind == Plain && len(p.Models) > 0:
+		c.report(at+".models", "pool %q of a plain service has models", p.Name)
+	}
+}
+
+func (c *checker) checkCustomers() {
+	for i, customer := range c.b.Customers {
+		at := fmt.Sprintf("customers[%d]", i)
+		c.name(at+".name", "customer", customer.Name, c.customers)
+		c.tokens(at+".token_digests", customer.TokenDigests)
+		if customer.Weight <= 0 {
+			c.report(at+".weight", "%v is not above 0", customer.Weight)
+		}
+		if customer.Owner != "" {
+			c.reference(at+".owner", "owner", customer.Owner, c.owners)
+		}
+		if len(customer.Classes) == 0 {
+			c.report(at+".classes", "customer %q may use no class", customer.Name)
+		}
+		seen := map[string]string{}
+		for j, class := range customer.Classes {
+			field := fmt.Sprintf("%s.classes[%d]", at, j)
+			c.reference(field, "class", class, c.classes)
+			c.unique(field, "class", class, seen)
+		}
+	}
+}
+
+func (c *checker) checkOperators() {
+	if len(c.b.Operators) < minOperators {
+		c.report("operators", "at least %d operators are required, since nobody approves their own change", minOperators)
+	}
+	for i, operator := range c.b.Operators {
+		at := fmt.Sprintf("operators[%d]", i)
+		c.name(at+".name", "operator", operator.Name, c.operators)
+		c.tokens(at+".token_digests", operator.TokenDigests)
+	}
+}
+
+// tokens checks token digests and that each is given once in the bundle, so
+// that a token names one customer or one operator.
+func (c *checker) tokens(field string, digests []string) {
+	if len(digests) == 0 {
+		c.report(field, "at least one token digest is required")
+	}
+	for i, d := range digests {
+		at := fmt.Sprintf("%s[%d]", field, i)
+		switch first, ok := c.digests[d]; {
+		case !digestRule.MatchString(d):
+			c.report(at, "token digest is not 64 lower-case hex digits")
+		case d == emptyTokenDigest:
+			c.report(at, "token digest is that of the empty token")
+		case ok:
+			c.report(at, "token digest is given twice, first at %s", first)
+		default:
+			c.digests[d] = at
+		}
+	}
+}
--- /dev/null
+++ b/bundle/propose.go
@@ -0,0 +1,219 @@
+package bundle
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/jacinththread/jacinththread/finding"
+	"github.com/jacinththread/jacinththread/platform"
+)
+
+const (
+	// maxNoteBytes bounds the note of a change.
+	maxNoteBytes = 2000
+	// recordHeadroom is kept free in a proposal's stored form, so that the
+	// record of its version fits as well.
+	recordHeadroom = 16 << 10
+)
+
+// Change is what an operator proposes.
+type Change struct {
+	// ID names the change; the operator chooses it, and repeats with the same
+	// ID are one proposal.
+	ID string
+	// Base is the version the change was made from; zero for the first.
+	Base uint64
+	// Content is the bundle in JSON with comments.
+	Content string
+	Note    string
+}
+
+// Propose checks a change and stores it for review. With findings, nothing is
+// stored and the error is a *finding.Error. A change whose base is not in
+// force gives a *ConflictError.
+func (s *Store) Propose(ctx context.Context, c Change, operator string) (*Proposal, error) {
+	if !changeIDRule.MatchString(c.ID) {
+		return nil, trace.Wrap(ErrBadChangeID)
+	}
+	if len(c.Note) > maxNoteBytes {
+		return nil, trace.Wrap(ErrLongNote)
+	}
+	p, err := newProposal(c, operator)
+	if err != nil {
+		return nil, err
+	}
+	stored, err := s.Proposal(ctx, c.ID)
+	if err == nil {
+		return sameProposal(stored, p)
+	}
+	if !errors.Is(err, ErrChangeNotFound) {
+		return nil, err
+	}
+	current, _, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if current.Version != c.Base {
+		return nil, &ConflictError{Base: c.Base, Winner: current}
+	}
+	return s.storeProposal(ctx, p)
+}
+
+func newProposal(c Change, operator string) (*Proposal, error) {
+	b, findings := Parse(c.ID, []byte(c.Content))
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	digest, err := Digest(b)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Proposal{
+		ChangeID: c.ID, Base: c.Base, Digest: digest, Note: c.Note,
+		ProposedBy: operator, ProposedAt: time.Now().UTC(), Content: c.Content,
+	}, nil
+}
+
+func (s *Store) storeProposal(ctx context.Context, p *Proposal) (*Proposal, error) {
+	value, err := encodeValue(p)
+	if err != nil {
+		return nil, err
+	}
+	if len(value) > platform.MaxValueBytes-recordHeadroom && bytes.HasPrefix(value, gzipMagic) {
+		return nil, &SizeError{Bytes: len(p.Content), Compressed: len(value)}
+	}
+	err = s.create(ctx, proposalKey(p.ChangeID), value)
+	if err == nil {
+		return p, nil
+	}
+	if !errors.Is(err, platform.ErrExists) {
+		return nil, err
+	}
+	stored, err := s.Proposal(ctx, p.ChangeID)
+	if err != nil {
+		return nil, err
+	}
+	return sameProposal(stored, p)
+}
+
+// sameProposal returns the stored proposal if p repeats it.
+func sameProposal(stored, p *Proposal) (*Proposal, error) {
+	same := stored.Base == p.Base && stored.Digest == p.Digest &&
+		stored.ProposedBy == p.ProposedBy && stored.Note == p.Note && stored.Content == p.Content
+	if !same {
+		return nil, trace.Wrap(ErrChangeIDTaken, "change %q", p.ChangeID)
+	}
+	return stored, nil
+}
+
+// Proposal returns a stored proposal, or ErrChangeNotFound.
+func (s *Store) Proposal(ctx context.Context, id string) (*Proposal, error) {
+	p, _, err := s.proposal(ctx, id)
+	return p, err
+}
+
+func (s *Store) proposal(ctx context.Context, id string) (*Proposal, platform.Revision, error) {
+	if !changeIDRule.MatchString(id) {
+		return nil, 0, trace.Wrap(ErrBadChangeID)
+	}
+	e, err := s.kv.Get(ctx, proposalKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, trace.Wrap(ErrChangeNotFound, "change %q", id)
+	}
+	if err != nil {
+		return nil, 0, trace.Wrap(err)
+	}
+	p := &Proposal{}
+	return p, e.Revision, decodeValue(e.Value, p)
+}
+
+// Review is what an operator reads before approving a change.
+type Review struct {
+	Proposal *Proposal
+	Findings finding.List
+	// Current is the version in force; zero if there is none.
+	Current Pointer
+	// Diff is the difference to the base by line; empty without a base.
+	Diff string
+}
+
+// Review returns a proposal with its findings and its difference to the base.
+func (s *Store) Review(ctx context.Context, id string) (*Review, error) {
+	p, err := s.Proposal(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	current, _, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r := &Review{Proposal: p, Findings: p.Findings(), Current: current}
+	if p.Base == 0 {
+		return r, nil
+	}
+	base, err := s.Version(ctx, p.Base)
+	if err != nil {
+		return nil, err
+	}
+	r.Diff = Diff(base.Content, p.Content)
+	return r, nil
+}
+
+// Approve records that another operator than the proposer accepts the content
+// with the digest. Once approved, a repeat by anyone changes nothing.
+func (s *Store) Approve(ctx context.Context, id, digest, operator string) (*Proposal, error) {
+	r := newRetry()
+	for {
+		p, rev, err := s.proposal(ctx, id)
+		if err == nil {
+			err = mayApprove(p, digest, operator)
+		}
+		if err != nil {
+			return nil, r.result(err)
+		}
+		if p.ApprovedBy != "" {
+			return p, nil
+		}
+		p.ApprovedBy, p.ApprovedAt = operator, time.Now().UTC()
+		value, err := encodeValue(p)
+		if err != nil {
+			return nil, err
+		}
+		_, err = s.kv.CompareAndSwap(ctx, proposalKey(id), rev, value)
+		if err == nil {
+			return p, nil
+		}
+		if !s.tryAgain(ctx, r, err) {
+			return nil, r.result(err)
+		}
+	}
+}
+
+func mayApprove(p *Proposal, digest, operator string) error {
+	if p.Digest != digest {
+		return &DigestError{Want: digest, Got: p.Digest}
+	}
+	if p.ProposedBy == operator {
+		return trace.Wrap(ErrOwnChange, "change %q", p.ChangeID)
+	}
+	if _, err := parseContent(p.Content, digest); err != nil {
+		return err
+	}
+	return nil
+}
+
+// tryAgain reports whether a swap should be repeated after reading again: its
+// outcome is unknown, or another write came first.
+func (s *Store) tryAgain(ctx context.Context, r *retry, err error) bool {
+	lostRace := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) ||
+		errors.Is(err, platform.ErrNotFound)
+	if lostRace {
+		r.attempts++
+		return r.attempts < maxAttempts && ctx.Err() == nil
+	}
+	return r.again(ctx, err)
+}
--- /dev/null
+++ b/bundle/store_test.go
@@ -0,0 +1,213 @@
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/finding"
+	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/platform/platformtest"
+)
+
+// variant returns the text of a bundle that differs from others by n.
+func variant(t testing.TB, n int) string {
+	t.Helper()
+	b := sample()
+	b.RetentionHours = 1 + n
+	return string(text(t, b))
+}
+
+// mustRoll takes a change through all steps.
+func mustRoll(t testing.TB, s *Store, id string, base uint64, content string) Pointer {
+	t.Helper()
+	p, err := s.Propose(t.Context(), Change{ID: id, Base: base, Content: content}, "ana")
+	assert.NilError(t, err)
+	_, err = s.Approve(t.Context(), id, p.Digest, "ben")
+	assert.NilError(t, err)
+	at, err := s.Roll(t.Context(), id, "ana")
+	assert.NilError(t, err)
+	return at
+}
+
+func TestFirstRollAndRollback(t *testing.T) {
+	ctx, s := t.Context(), NewStore(platformtest.New())
+	_, err := s.InForce(ctx)
+	assert.ErrorIs(t, err, ErrNoVersion)
+	assert.Equal(t, mustRoll(t, s, "one", 0, variant(t, 1)).Version, uint64(1))
+	assert.Equal(t, mustRoll(t, s, "two", 1, variant(t, 2)).Version, uint64(2))
+	old, err := s.InForceVersion(ctx, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, mustRoll(t, s, "back", 2, old.Content).Version, uint64(3))
+
+	a, err := s.InForce(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Version, uint64(3))
+	assert.Equal(t, a.Bundle.RetentionHours, 2)
+	history, err := s.History(ctx, 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 2)
+	assert.Equal(t, history[0].ChangeID, "back")
+	assert.Equal(t, history[1].ChangeID, "two")
+	again, err := s.Roll(ctx, "one", "ben")
+	assert.NilError(t, err)
+	assert.Equal(t, again.Version, uint64(1))
+	assert.Equal(t, again.RolledBy, "ana")
+}
+
+func TestReviewShowsTheDifference(t *testing.T) {
+	s := NewStore(platformtest.New())
+	mustRoll(t, s, "one", 0, "// first\n"+variant(t, 1))
+	_, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: "// second\n" + variant(t, 1)}, "ana")
+	assert.NilError(t, err)
+	r, err := s.Review(t.Context(), "two")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(r.Diff, "-// first\n+// second\n {"), r.Diff)
+	assert.Equal(t, len(r.Findings), 0)
+	assert.Equal(t, r.Current.Version, uint64(1))
+}
+
+func TestStepsRefuse(t *testing.T) {
+	ctx, s := t.Context(), NewStore(platformtest.New())
+	_, err := s.Propose(ctx, Change{ID: "a/b", Content: variant(t, 1)}, "ana")
+	assert.ErrorIs(t, err, ErrBadChangeID)
+	_, err = s.Propose(ctx, Change{ID: "a", Content: "{}"}, "ana")
+	var findings *finding.Error
+	assert.Assert(t, errors.As(err, &findings))
+	_, err = s.Propose(ctx, Change{ID: "a", Base: 4, Content: variant(t, 1)}, "ana")
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	_, err = s.Proposal(ctx, "a")
+	assert.ErrorIs(t, err, ErrChangeNotFound)
+
+	p, err := s.Propose(ctx, Change{ID: "a", Content: variant(t, 1)}, "ana")
+	assert.NilError(t, err)
+	repeat, err := s.Propose(ctx, Change{ID: "a", Content: variant(t, 1)}, "ana")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, repeat, p)
+	_, err = s.Propose(ctx, Change{ID: "a", Content: variant(t, 2)}, "ana")
+	assert.ErrorIs(t, err, ErrChangeIDTaken)
+
+	_, err = s.Roll(ctx, "a", "ana")
+	assert.ErrorIs(t, err, ErrNotApproved)
+	_, err = s.Approve(ctx, "a", p.Digest, "ana")
+	assert.ErrorIs(t, err, ErrOwnChange)
+	_, err = s.Approve(ctx, "a", strings.Repeat("0", 64), "ben")
+	var digest *DigestError
+	assert.Assert(t, errors.As(err, &digest))
+	_, err = s.Roll(ctx, "a", "ana")
+	assert.ErrorIs(t, err, ErrNotApproved)
+}
+
+func TestRacingOperators(t *testing.T) {
+	ctx, s := t.Context(), NewStore(platformtest.New())
+	for i, operator := range []string{"ana", "ben"} {
+		id := "change-" + operator
+		p, err := s.Propose(ctx, Change{ID: id, Content: variant(t, i)}, operator)
+		assert.NilError(t, err)
+		_, err = s.Approve(ctx, id, p.Digest, "cai")
+		assert.NilError(t, err)
+	}
+	won, err := s.Roll(ctx, "change-ben", "ben")
+	assert.NilError(t, err)
+	_, err = s.Roll(ctx, "change-ana", "ana")
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Winner, won)
+	assert.Error(t, err, `change is based on version 0, but version 1 (change "change-ben") was rolled by "ben"`)
+}
+
+// An operator that stops after storing the record and before the swap leaves a
+// number that is not used again.
+func TestStopBetweenRecordAndSwap(t *testing.T) {
+	p := platformtest.New()
+	s := NewStore(p)
+	mustRoll(t, s, "one", 0, variant(t, 1))
+	for _, id := range []string{"lost", "next"} {
+		proposal, err := s.Propose(t.Context(), Change{ID: id, Base: 1, Content: variant(t, len(id))}, "ana")
+		assert.NilError(t, err)
+		_, err = s.Approve(t.Context(), id, proposal.Digest, "ben")
+		assert.NilError(t, err)
+	}
+	p.FailNext(platformtest.OpSwap, 1, platformtest.Unavailable)
+	_, err := s.Roll(t.Context(), "lost", "ana")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	at, err := s.Roll(t.Context(), "next", "ben")
+	assert.NilError(t, err)
+	assert.Equal(t, at.Version, uint64(3))
+	_, err = s.Roll(t.Context(), "lost", "ana")
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	_, err = s.InForceVersion(t.Context(), 2)
+	assert.ErrorIs(t, err, ErrVersionNotFound)
+}
+
+func TestLostRepliesAreSettled(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.ReplyLost, platformtest.RequestLost, platformtest.Late} {
+		for _, op := range []platformtest.Op{platformtest.OpCreate, platformtest.OpSwap} {
+			synctest.Test(t, func(t *testing.T) {
+				p := platformtest.New()
+				s := NewStore(p)
+				for i := range 3 {
+					p.FailNext(op, 1+i%2, fault)
+					at := mustRoll(t, s, fmt.Sprint("change-", i), uint64(i), variant(t, i))
+					assert.Equal(t, at.Version, uint64(i+1))
+				}
+			})
+		}
+	}
+}
+
+func TestOutcomeStaysUnknownWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformtest.New()
+		s := NewStore(p)
+		mustRoll(t, s, "one", 0, variant(t, 1))
+		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
+		assert.NilError(t, err)
+		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
+		assert.NilError(t, err)
+		p.FailNext(platformtest.OpSwap, 1, platformtest.ReplyLost)
+		p.FailNext(platformtest.OpGet, 2, platformtest.None)
+		p.FailNext(platformtest.OpGet, 20, platformtest.Unavailable)
+		_, err = s.Roll(t.Context(), "two", "ana")
+		assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		for {
+			at, err := s.Roll(t.Context(), "two", "ana")
+			if err == nil {
+				assert.Equal(t, at.Version, uint64(2))
+				return
+			}
+		}
+	})
+}
+
+func TestLargeBundles(t *testing.T) {
+	s := NewStore(platformtest.New())
+	many := "/*" + strings.Repeat("all the same ", 100_000) + "*/" + variant(t, 1)
+	assert.Equal(t, mustRoll(t, s, "large", 0, many).Version, uint64(1))
+	r, err := s.Version(t.Context(), 1)
+	assert.NilError(t, err)
+	assert.Assert(t, r.Content == many)
+
+	rng := rand.New(rand.NewPCG(1, 1))
+	var noise strings.Builder
+	for noise.Len() < 2<<20 {
+		fmt.Fprintf(&noise, "%x", rng.Uint64())
+	}
+	_, err = s.Propose(t.Context(), Change{ID: "noise", Base: 1, Content: "/*" + noise.String() + "*/" + variant(t, 1)}, "ana")
+	var size *SizeError
+	assert.Assert(t, errors.As(err, &size), "%v", err)
+	assert.Assert(t, size.Compressed > platform.MaxValueBytes)
+}
+
+func TestDiff(t *testing.T) {
+	assert.Equal(t, Diff("a\nb", "a\nb"), "")
+	assert.Equal(t, Diff("1\n2\n3\n4\n5\n6\n7\n8\n9", "1\n2\n3\n4\nx\n6\n7\n8\n9\n0"),
+		"...\n 2\n 3\n 4\n-5\n+x\n 6\n 7\n 8\n 9\n+0\n")
+}
