Claim calls that may not be repeated in the platform's store

Cause: a retry through another daemon, a paused daemon or a lost store reply could run a fee posting twice. Change: claims.Service creates the claim before dispatch with a random attempt ID. A lost reply is settled by reading back, and a create that is still absent is sent again with the same ID, so at most one takes effect. An attempt that stays undecided never runs; a released record under its key fences a create or swap that is applied late. Attempt has a new field DispatchBy and Answer a new field Digest; both may be ignored by existing users of the contract. Figures: a call costs one create and one compare-and-swap, no read (TestCallCostsTwoWritesAndNoRead).

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -1,7 +1,10 @@
 // Package claims makes calls that may not be repeated run at most once.
 package claims
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Key identifies one call that may not be repeated.
 type Key struct {
@@ -42,6 +45,9 @@
 	Body        []byte `msgpack:"b,omitempty"`
 	// Truncated is set when the body exceeded the recording bound.
 	Truncated bool `msgpack:"x,omitempty"`
+	// Digest is the SHA-256 hash of the complete body. Finish computes it from
+	// Body when it is empty.
+	Digest []byte `msgpack:"h,omitempty"`
 }
 
 // Attempt is one try to run a call.
@@ -51,17 +57,22 @@
 	Verdict Verdict
 	// Answer is set for Replay.
 	Answer *Answer
+	// DispatchBy is set for Run: the wall-clock time after which the attempt
+	// must not be dispatched any more, because its claim may expire.
+	DispatchBy time.Time
 }
 
 // Claimer grants attempts. Implementations are safe for concurrent use.
 type Claimer interface {
 	// Begin claims the call for a new attempt. The digest is the hash of the
 	// request method, path and body. Begin never returns Run unless the claim
-	// is stored.
+	// is stored. The error is set only for an incomplete key.
 	Begin(ctx context.Context, key Key, digest [32]byte) (Attempt, error)
-	// Finish records the outcome of a dispatched attempt.
+	// Finish records the outcome of a dispatched attempt. After an error it
+	// goes on trying in the background.
 	Finish(ctx context.Context, a Attempt, answer Answer) error
 	// Abandon records that a dispatched attempt ended without a known outcome.
+	// After an error it goes on trying in the background.
 	Abandon(ctx context.Context, a Attempt) error
 	// Release withdraws an attempt that was surely not dispatched. It retries
 	// in the background until the store answers.
--- /dev/null
+++ b/claims/service_test.go
@@ -0,0 +1,299 @@
+package claims_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/claims"
+	"github.com/jacinththread/jacinththread/platform/platformtest"
+)
+
+var (
+	testKey = claims.Key{Customer: "utility", Service: "permohonan-app", Token: "fee-17"}
+	digestA = sha256.Sum256([]byte("a"))
+	digestB = sha256.Sum256([]byte("b"))
+	okay    = claims.Answer{Status: 200, ContentType: "text/plain", Body: []byte("posted")}
+)
+
+// fixture is one platform with daemons on it.
+type fixture struct {
+	t     *testing.T
+	store *platformtest.Platform
+	dead  map[string]bool
+}
+
+func newFixture(t *testing.T) *fixture {
+	return &fixture{t: t, store: platformtest.New(), dead: map[string]bool{}}
+}
+
+// daemon starts a claims service that stops with the test.
+func (f *fixture) daemon(owner string, change ...func(*claims.Config)) *claims.Service {
+	cfg := claims.Config{
+		Store:      f.store,
+		Owner:      owner,
+		OwnerAlive: func(o string) bool { return !f.dead[o] },
+	}
+	for _, c := range change {
+		c(&cfg)
+	}
+	s := claims.New(cfg)
+	assert.NilError(f.t, s.Start(f.t.Context()))
+	f.t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Stop(ctx)
+	})
+	return s
+}
+
+func (f *fixture) begin(s *claims.Service, digest [32]byte, want claims.Verdict) claims.Attempt {
+	f.t.Helper()
+	a, err := s.Begin(f.t.Context(), testKey, digest)
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, a.Verdict, want)
+	return a
+}
+
+// bubble runs a test in virtual time.
+func bubble(t *testing.T, test func(t *testing.T, f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, newFixture(t)) })
+}
+
+func TestRepeatGetsTheRecordedAnswer(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		one, two := f.daemon("d1"), f.daemon("d2")
+		a := f.begin(one, digestA, claims.Run)
+		assert.Assert(t, a.DispatchBy.After(time.Now()))
+		f.begin(two, digestA, claims.InProgress)
+		f.begin(two, digestB, claims.Mismatch)
+		assert.NilError(t, one.Finish(t.Context(), a, okay))
+		again := f.begin(two, digestA, claims.Replay)
+		assert.Equal(t, again.Answer.Status, 200)
+		assert.Equal(t, string(again.Answer.Body), "posted")
+		sum := sha256.Sum256(okay.Body)
+		assert.DeepEqual(t, again.Answer.Digest, sum[:])
+		f.begin(two, digestB, claims.Mismatch)
+	})
+}
+
+func TestCallCostsTwoWritesAndNoRead(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		a := f.begin(s, digestA, claims.Run)
+		assert.NilError(t, s.Finish(t.Context(), a, okay))
+		assert.Equal(t, f.store.Calls(platformtest.OpCreate), 1)
+		assert.Equal(t, f.store.Calls(platformtest.OpSwap), 1)
+		assert.Equal(t, f.store.TotalCalls(), 2)
+	})
+}
+
+func TestLongAnswerIsCutAndMarked(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		a := f.begin(s, digestA, claims.Run)
+		body := bytes.Repeat([]byte("x"), claims.MaxRecordedBody+1)
+		assert.NilError(t, s.Finish(t.Context(), a, claims.Answer{Status: 200, Body: body}))
+		again := f.begin(s, digestA, claims.Replay)
+		assert.Assert(t, again.Answer.Truncated)
+		assert.Equal(t, len(again.Answer.Body), claims.MaxRecordedBody)
+		sum := sha256.Sum256(body)
+		assert.DeepEqual(t, again.Answer.Digest, sum[:])
+	})
+}
+
+func TestLostOutcomeIsUnknownForEver(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		one, two := f.daemon("d1"), f.daemon("d2")
+		a := f.begin(one, digestA, claims.Run)
+		assert.NilError(t, one.Abandon(t.Context(), a))
+		f.begin(two, digestA, claims.Unknown)
+		f.begin(one, digestA, claims.Unknown)
+	})
+}
+
+func TestDeadOwnerMakesTheOutcomeUnknownUntilItRecords(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		one, two := f.daemon("d1"), f.daemon("d2")
+		a := f.begin(one, digestA, claims.Run)
+		f.dead["d1"] = true
+		f.begin(two, digestA, claims.Unknown)
+		assert.NilError(t, one.Finish(t.Context(), a, okay))
+		f.begin(two, digestA, claims.Replay)
+	})
+}
+
+func TestReleasedKeyRunsAgain(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		one, two := f.daemon("d1"), f.daemon("d2")
+		one.Release(f.begin(one, digestA, claims.Run))
+		synctest.Wait()
+		a := f.begin(two, digestB, claims.Run)
+		f.begin(one, digestB, claims.InProgress)
+		assert.NilError(t, two.Finish(t.Context(), a, okay))
+		f.begin(one, digestB, claims.Replay)
+	})
+}
+
+func TestStoreDownIsUnavailableAndLeavesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		f.store.SetDown(true)
+		f.begin(s, digestA, claims.Unavailable)
+		f.store.SetDown(false)
+		f.begin(s, digestA, claims.Run)
+	})
+}
+
+func TestStoreDownAfterAnExistingClaimWasSeenIsUndecided(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		f.begin(s, digestA, claims.Run)
+		f.store.FailNext(platformtest.OpGet, 10, platformtest.Unavailable)
+		f.begin(s, digestA, claims.Undecided)
+	})
+}
+
+func TestLostRepliesOfTheCreateAreSettled(t *testing.T) {
+	faults := []platformtest.Fault{
+		platformtest.ReplyLost, platformtest.RequestLost, platformtest.Late,
+	}
+	for _, fault := range faults {
+		bubble(t, func(t *testing.T, f *fixture) {
+			s := f.daemon("d1")
+			f.store.FailNext(platformtest.OpCreate, 1, fault)
+			a := f.begin(s, digestA, claims.Run)
+			time.Sleep(time.Minute)
+			f.begin(s, digestA, claims.InProgress)
+			assert.NilError(t, s.Finish(t.Context(), a, okay))
+			f.begin(s, digestA, claims.Replay)
+		})
+	}
+}
+
+func TestUndecidedAttemptIsFencedAgainstItsLateCreate(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		f.store.SetLateBy(5 * time.Second)
+		one, two := f.daemon("d1"), f.daemon("d2")
+		f.store.FailNext(platformtest.OpCreate, 1, platformtest.Late)
+		f.store.FailNext(platformtest.OpGet, 3, platformtest.Unavailable)
+		f.begin(one, digestA, claims.Undecided)
+		time.Sleep(time.Minute)
+		f.begin(two, digestB, claims.Run)
+	})
+}
+
+func TestLateDuplicateOfTheCreateDoesNotOutlastTheRelease(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		f.store.SetLateBy(5 * time.Second)
+		s := f.daemon("d1")
+		f.store.FailNext(platformtest.OpCreate, 1, platformtest.Late)
+		s.Release(f.begin(s, digestA, claims.Run))
+		time.Sleep(time.Minute)
+		f.begin(s, digestB, claims.Run)
+	})
+}
+
+func TestUndecidedAttemptThatTookEffectIsWithdrawn(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		one, two := f.daemon("d1"), f.daemon("d2")
+		f.store.FailNext(platformtest.OpCreate, 1, platformtest.ReplyLost)
+		f.store.FailNext(platformtest.OpGet, 3, platformtest.Unavailable)
+		f.begin(one, digestA, claims.Undecided)
+		time.Sleep(time.Minute)
+		f.begin(two, digestB, claims.Run)
+	})
+}
+
+func TestUndecidedSwapOfAReleasedClaimIsFenced(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		f.store.SetLateBy(5 * time.Second)
+		one, two := f.daemon("d1"), f.daemon("d2")
+		one.Release(f.begin(one, digestA, claims.Run))
+		synctest.Wait()
+		f.store.FailNext(platformtest.OpSwap, 1, platformtest.Late)
+		f.store.FailNext(platformtest.OpGet, 1, platformtest.None)
+		f.store.FailNext(platformtest.OpGet, 3, platformtest.Unavailable)
+		f.begin(one, digestA, claims.Undecided)
+		time.Sleep(time.Minute)
+		f.begin(two, digestB, claims.Run)
+	})
+}
+
+func TestOutcomeIsStoredAfterAnOutage(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		a := f.begin(s, digestA, claims.Run)
+		f.store.SetDown(true)
+		assert.ErrorContains(t, s.Finish(t.Context(), a, okay), "not stored yet")
+		time.Sleep(time.Hour)
+		f.store.SetDown(false)
+		time.Sleep(time.Minute)
+		f.begin(s, digestA, claims.Replay)
+	})
+}
+
+func TestStopWaitsForTheOutcome(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		a := f.begin(s, digestA, claims.Run)
+		f.store.SetDown(true)
+		assert.ErrorContains(t, s.Finish(t.Context(), a, okay), "not stored yet")
+		time.AfterFunc(10*time.Second, func() { f.store.SetDown(false) })
+		assert.NilError(t, s.Stop(t.Context()))
+		f.begin(f.daemon("d2"), digestA, claims.Replay)
+	})
+}
+
+func TestStopNamesWhatItLeaves(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		s.Release(f.begin(s, digestA, claims.Run))
+		f.store.SetDown(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		s.Release(f.begin(s, digestA, claims.Unavailable))
+		err := s.Stop(ctx)
+		assert.ErrorContains(t, err, "1 claim writes are not stored")
+	})
+}
+
+func TestIncompleteKeyIsRefused(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		s := f.daemon("d1")
+		_, err := s.Begin(t.Context(), claims.Key{Customer: "c", Service: "s"}, digestA)
+		assert.ErrorContains(t, err, "no idempotency key")
+		assert.Equal(t, f.store.TotalCalls(), 0)
+	})
+}
+
+func TestStoreHoldsNoTokenInClear(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		f.begin(f.daemon("d1"), digestA, claims.Run)
+		for key, e := range f.store.Snapshot() {
+			stored := key + string(e.Value)
+			assert.Assert(t, !strings.Contains(stored, testKey.Token))
+			assert.Assert(t, !strings.Contains(stored, testKey.Customer))
+		}
+	})
+}
+
+func TestVerdictsAreCounted(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fixture) {
+		r := metrics.NewRegistry()
+		s := f.daemon("d1", func(c *claims.Config) { c.Metrics = r })
+		f.begin(s, digestA, claims.Run)
+		f.begin(s, digestA, claims.InProgress)
+		assert.Equal(t, r.Get("claims.verdict.run").(metrics.Counter).Count(), int64(1))
+		assert.Equal(t, r.Get("claims.verdict.in_progress").(metrics.Counter).Count(), int64(1))
+		assert.Equal(t, r.Get("claims.store.writes").(metrics.Counter).Count(), int64(2))
+	})
+}
--- /dev/null
+++ b/claims/store.go
@@ -0,0 +1,145 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/platform"
+)
+
+// counts are the metrics of a Service.
+type counts struct {
+	reads    metrics.Counter
+	writes   metrics.Counter
+	verdicts [Undecided + 1]metrics.Counter
+	// background is the number of writes that wait for the store.
+	background metrics.Gauge
+	dropped    metrics.Counter
+	fenced     metrics.Counter
+	expired    metrics.Counter
+	unreadable metrics.Counter
+}
+
+func newCounts(r metrics.Registry) *counts {
+	c := &counts{
+		reads:      metrics.GetOrRegisterCounter("claims.store.reads", r),
+		writes:     metrics.GetOrRegisterCounter("claims.store.writes", r),
+		background: metrics.GetOrRegisterGauge("claims.background.waiting", r),
+		dropped:    metrics.GetOrRegisterCounter("claims.background.dropped", r),
+		fenced:     metrics.GetOrRegisterCounter("claims.fenced", r),
+		expired:    metrics.GetOrRegisterCounter("claims.expired", r),
+		unreadable: metrics.GetOrRegisterCounter("claims.unreadable", r),
+	}
+	for v := Run; v <= Undecided; v++ {
+		c.verdicts[v] = metrics.GetOrRegisterCounter("claims.verdict."+v.String(), r)
+	}
+	return c
+}
+
+// countingStore bounds and counts the calls on a store. Its calls outlive the
+// caller's context, because a canceled write has an unknown outcome.
+type countingStore struct {
+	platform.Store
+	timeout time.Duration
+	counts  *counts
+}
+
+func (c *countingStore) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
+}
+
+// Get implements platform.Store.
+func (c *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	c.counts.reads.Inc(1)
+	return c.Store.Get(ctx, key)
+}
+
+// List implements platform.Store.
+func (c *countingStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	c.counts.reads.Inc(1)
+	return c.Store.List(ctx, prefix)
+}
+
+// Create implements platform.Store.
+func (c *countingStore) Create(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	c.counts.writes.Inc(1)
+	return c.Store.Create(ctx, key, value)
+}
+
+// CompareAndSwap implements platform.Store.
+func (c *countingStore) CompareAndSwap(ctx context.Context, key string, rev platform.Revision, value []byte) (platform.Revision, error) {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	c.counts.writes.Inc(1)
+	return c.Store.CompareAndSwap(ctx, key, rev, value)
+}
+
+// Delete implements platform.Store.
+func (c *countingStore) Delete(ctx context.Context, key string, rev platform.Revision) error {
+	ctx, cancel := c.bound(ctx)
+	defer cancel()
+	c.counts.writes.Inc(1)
+	return c.Store.Delete(ctx, key, rev)
+}
+
+// writeResult is what is known after a write.
+type writeResult uint8
+
+const (
+	// writeDone: the write took effect.
+	writeDone writeResult = iota + 1
+	// writeRefused: the key is in another state; this write took no effect.
+	writeRefused
+	// writeNoEffect: the store is unavailable and the write took no effect.
+	writeNoEffect
+	// writeUnknown: the write may take effect now, later or never.
+	writeUnknown
+)
+
+// resultOf sorts a write's error. Errors that promise nothing are unknown.
+func resultOf(err error) writeResult {
+	switch {
+	case err == nil:
+		return writeDone
+	case errors.Is(err, platform.ErrExists),
+		errors.Is(err, platform.ErrConflict),
+		errors.Is(err, platform.ErrNotFound):
+		return writeRefused
+	case errors.Is(err, platform.ErrUnavailable),
+		errors.Is(err, platform.ErrTooLarge):
+		return writeNoEffect
+	default:
+		return writeUnknown
+	}
+}
+
+// String returns the verdict's name in metrics and logs.
+func (v Verdict) String() string {
+	switch v {
+	case Run:
+		return "run"
+	case Replay:
+		return "replay"
+	case InProgress:
+		return "in_progress"
+	case Unknown:
+		return "unknown"
+	case Mismatch:
+		return "mismatch"
+	case Unavailable:
+		return "unavailable"
+	case Undecided:
+		return "undecided"
+	default:
+		return "invalid"
+	}
+}
--- /dev/null
+++ b/claims/sweep.go
@@ -0,0 +1,112 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/jacinththread/jacinththread/platform"
+)
+
+// sweepBatch bounds the writes of one look at a shard.
+const sweepBatch = 32
+
+// releasedRetention is how long a released record stays. It must exceed the
+// time after which the store applies a write late.
+const releasedRetention = 10 * time.Minute
+
+// sweepAction is what the sweep does with a record.
+type sweepAction uint8
+
+const (
+	sweepKeep sweepAction = iota
+	sweepDelete
+	// sweepAbandon marks an unfinished claim, so that it is kept for another
+	// retention and answered Unknown.
+	sweepAbandon
+)
+
+// sweepActionFor decides about one record.
+func sweepActionFor(r record, now time.Time, retention time.Duration) sweepAction {
+	age := now.Sub(time.UnixMilli(r.ChangedMs))
+	switch r.Phase {
+	case phaseReleased:
+		if age > min(retention, releasedRetention) {
+			return sweepDelete
+		}
+	case phaseFinished, phaseAbandoned:
+		if age > retention {
+			return sweepDelete
+		}
+	case phaseClaimed:
+		if age > retention {
+			return sweepAbandon
+		}
+	}
+	return sweepKeep
+}
+
+// runSweep looks at one shard after the other until ctx ends. Each daemon
+// steps through all shards but lists only those it sweeps, so the store's load
+// does not grow with the number of daemons.
+func (s *Service) runSweep(ctx context.Context) {
+	for shard := 0; ; shard = (shard + 1) % shardCount {
+		if !sleep(ctx, s.cfg.SweepEvery) {
+			return
+		}
+		prefix := shardPrefix(shard)
+		if s.cfg.Sweeps(prefix) {
+			s.sweepShard(ctx, prefix)
+		}
+	}
+}
+
+func (s *Service) sweepShard(ctx context.Context, prefix string) {
+	entries, err := s.store.List(ctx, prefix)
+	if err != nil {
+		s.log.Debug("claims sweep skipped a shard", "shard", prefix, "err", err)
+		return
+	}
+	now, retention := time.Now(), s.cfg.Retention()
+	writes := 0
+	for _, e := range entries {
+		if writes == sweepBatch || ctx.Err() != nil {
+			return
+		}
+		if s.sweepEntry(ctx, e, now, retention) {
+			writes++
+		}
+	}
+}
+
+// sweepEntry handles one entry and reports whether it wrote. A failed write is
+// left to the next round: both writes are bound to the revision.
+func (s *Service) sweepEntry(ctx context.Context, e platform.Entry, now time.Time, retention time.Duration) bool {
+	rec, err := decodeRecord(e.Value)
+	if err != nil {
+		s.unreadable(e.Key, err)
+		return false
+	}
+	switch sweepActionFor(rec, now, retention) {
+	case sweepDelete:
+		if s.store.Delete(ctx, e.Key, e.Revision) == nil {
+			s.counts.expired.Inc(1)
+		}
+		return true
+	case sweepAbandon:
+		s.markAbandoned(ctx, e, rec.in(phaseAbandoned, now))
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Service) markAbandoned(ctx context.Context, e platform.Entry, rec record) {
+	value, err := rec.encode()
+	if err != nil {
+		s.log.Error("claim record is not encodable", "key", e.Key, "err", err)
+		return
+	}
+	if _, err := s.store.CompareAndSwap(ctx, e.Key, e.Revision, value); err != nil {
+		s.log.Debug("claims sweep left an unfinished claim", "key", e.Key, "err", err)
+	}
+}
