Refuse at once when every server that is left already failed the request

Excluded: the retry budget, which still had tokens. Change: servers to avoid do not choose a scheduler. Conclusion: the failed stream ends at once.

--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/jacinththread/jacinththread/dispatch"
+	"github.com/jacinththread/jacinththread/internal/standin/engine"
+	"github.com/jacinththread/jacinththread/internal/standin/plain"
+	"github.com/jacinththread/jacinththread/platform/platformtest"
+)
+
+const streamed = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+var streamedText = engine.Text("m", `[{"role":"user","content":"hi"}]`, 8)
+
+// textOf joins the text of a streamed answer and reports its terminal marker.
+func textOf(t *testing.T, body string) (string, bool) {
+	t.Helper()
+	var text strings.Builder
+	done := false
+	for line := range strings.SplitSeq(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case data == "[DONE]":
+			done = true
+		case ok:
+			var c dispatch.Chunk
+			assert.NilError(t, json.Unmarshal([]byte(data), &c))
+			text.WriteString(c.Text())
+		}
+	}
+	return text.String(), done
+}
+
+func TestStreamedChatThroughAnotherDaemonsScheduler(t *testing.T) {
+	h := newHarness(t, "engine-1", "engine-2")
+	a := h.chat(streamed)
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, a.header.Get(HeaderRun), "ran")
+	assert.Equal(t, a.header.Get(HeaderBundle), "7")
+	text, done := textOf(t, a.body)
+	assert.Assert(t, done)
+	assert.Equal(t, text, streamedText)
+}
+
+func TestWholeChatIsCollectedFromTheStream(t *testing.T) {
+	h := newHarness(t, "engine-1")
+	a := h.chat(strings.Replace(streamed, `"stream":true,`, "", 1))
+	assert.Equal(t, a.status, http.StatusOK)
+	var doc wholeAnswer
+	assert.NilError(t, json.Unmarshal([]byte(a.body), &doc))
+	assert.Equal(t, doc.Choices[0].Message.Content, streamedText)
+}
+
+func TestCutStreamIsResumedAtTheDeliveredToken(t *testing.T) {
+	h := newHarness(t, "engine-1", "engine-2")
+	for _, e := range h.engines {
+		e.SetFaults(engine.Faults{CutAfter: 5})
+	}
+	a := h.chat(streamed)
+	text, done := textOf(t, a.body)
+	assert.Assert(t, done)
+	assert.Equal(t, text, streamedText)
+	runs := append(h.engines["engine-1"].Runs(), h.engines["engine-2"].Runs()...)
+	assert.Equal(t, len(runs), 2)
+	assert.Equal(t, runs[0].Offset+runs[1].Offset, 5)
+}
+
+func TestStreamThatCannotBeResumedEndsWithoutTheMarker(t *testing.T) {
+	h := newHarness(t, "engine-1")
+	h.engines["engine-1"].SetFaults(engine.Faults{CutAfter: 5})
+	a := h.chat(streamed)
+	assert.Assert(t, a.err != nil, "the connection ends early")
+	assert.Assert(t, !strings.Contains(a.body, "[DONE]"))
+	assert.Assert(t, cmp.Contains(a.body, `"run":"ran"`))
+}
+
+func TestDrainingEngineIsReportedAndReplaced(t *testing.T) {
+	h := newHarness(t, "engine-1", "engine-2")
+	h.engines["engine-1"].SetFaults(engine.Faults{Draining: true})
+	for range 4 {
+		assert.Equal(t, h.chat(streamed).status, http.StatusOK)
+	}
+	assert.Equal(t, len(h.engines["engine-1"].Runs()), 0)
+	assert.Equal(t, len(h.engines["engine-2"].Runs()), 4)
+	assert.DeepEqual(t, h.view.reported, []string{"engine-1"})
+}
+
+func TestBadInputIsRefusedWithItsPlace(t *testing.T) {
+	h := newHarness(t, "engine-1")
+	cases := []struct {
+		name, body string
+		header     []string
+		status     int
+		wants      []string
+	}{
+		{"syntax", `{"model":`, nil, 400, []string{"invalid_body", `"line":1`}},
+		{"not an object", `[]`, nil, 400, []string{"invalid_body"}},
+		{"types", "{\"model\":3,\n\"messages\":{},\"x\":1}", nil, 400, []string{`"field":"model"`, `"field":"messages"`, `"line":2`}},
+		{"values", `{"messages":[{"content":"x"}],"max_tokens":0}`, nil, 400, []string{`"field":"model"`, `"field":"messages[0].role"`, `"field":"max_tokens"`}},
+		{"model", strings.Replace(streamed, `"m"`, `"other"`, 1), nil, 400, []string{"unknown_model"}},
+		{"class", streamed, []string{HeaderClass, "gold"}, 400, []string{"unknown_class"}},
+		{"class of others", streamed, []string{"Authorization", "Bearer token-south", HeaderClass, "counter"}, 400, []string{"unknown_class"}},
+		{"deadline", streamed, []string{HeaderDeadline, "soon"}, 400, []string{"bad_deadline"}},
+		{"token", streamed, []string{"Authorization", "Bearer nobody"}, 401, []string{"unauthorized"}},
+		{"size", strings.Repeat(" ", 1<<16) + streamed, nil, 413, []string{"body_too_large"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := h.chat(c.body, c.header...)
+			assert.Equal(t, a.status, c.status, a.body)
+			assert.Equal(t, a.header.Get(HeaderRun), "not-run")
+			for _, want := range c.wants {
+				assert.Assert(t, cmp.Contains(a.body, want))
+			}
+		})
+	}
+	assert.Equal(t, len(h.engines["engine-1"].Runs()), 0)
+}
+
+func TestPostingRunsOnceForOneKey(t *testing.T) {
+	h := newHarness(t)
+	first := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, first.status, http.StatusOK)
+	second := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, second.status, http.StatusOK)
+	assert.Equal(t, second.body, first.body)
+	assert.Equal(t, second.header.Get(HeaderRun), "ran")
+	other := h.call(http.MethodPost, "/services/ledger/postings", "fee=20", HeaderIdempotency, "k1")
+	assert.Equal(t, other.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, len(h.ledger.Runs()), 1)
+}
+
+func TestPostingWithoutKeyIsRefused(t *testing.T) {
+	h := newHarness(t)
+	a := h.call(http.MethodPost, "/services/ledger/postings", "fee=10")
+	assert.Equal(t, a.status, http.StatusBadRequest)
+	assert.Assert(t, cmp.Contains(a.body, "missing_key"))
+	assert.Equal(t, len(h.ledger.Runs()), 0)
+}
+
+func TestPostingWithLostReplyIsNotRunAgain(t *testing.T) {
+	h := newHarness(t)
+	h.ledger.SetFaults(plain.Faults{LoseReplies: true})
+	first := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, first.header.Get(HeaderRun), "unknown")
+	h.ledger.SetFaults(plain.Faults{})
+	second := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, second.header.Get(HeaderRun), "unknown")
+	assert.Equal(t, len(h.ledger.Runs()), 1)
+}
+
+// A repeat that meets an outage of the store must not be told that its call was
+// not run, because an earlier attempt with the same key may have run.
+func TestRepeatDuringStoreOutageIsNotToldNotRun(t *testing.T) {
+	h := newHarness(t)
+	assert.Equal(t, h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1").status, http.StatusOK)
+	h.store.SetDown(true)
+	a := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Equal(t, a.header.Get(HeaderRun), "unknown")
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+	assert.Equal(t, h.chat(streamed).header.Get(HeaderRun), "not-run", "no engine in this harness")
+}
+
+func TestClaimWithLostReplyRunsOnce(t *testing.T) {
+	h := newHarness(t)
+	h.store.FailNext(platformtest.OpCreate, 1, platformtest.ReplyLost)
+	a := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, len(h.ledger.Runs()), 1)
+}
+
+func TestLookupsNeedNoKey(t *testing.T) {
+	h := newHarness(t)
+	a := h.call(http.MethodGet, "/services/ledger/status?id=4", "")
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Assert(t, cmp.Contains(a.body, `"/status"`))
+}
--- a/reservation/choose.go
+++ b/reservation/choose.go
@@ -64,21 +64,20 @@
 		return nil
 	}
 	var names []string
-	add := func(name string) {
-		if r.asked[name] == nil && !slices.Contains(names, name) {
+	add := func(i int) {
+		name := a.Owners[i]
+		if r.asked[name] == nil && !slices.Contains(names, name) && !slices.Contains(r.spec.Avoid, a.Servers[i]) {
 			names = append(names, name)
 		}
 	}
 	if r.spec.Prefix != 0 && len(r.asked) == 0 {
-		add(a.Owners[a.PreferredServer(r.spec.Prefix)])
+		add(a.PreferredServer(r.spec.Prefix))
 	}
 	for _, i := range m.rng.Perm(len(a.Servers)) {
 		if len(names) >= n {
 			break
 		}
-		if !slices.Contains(r.spec.Avoid, a.Servers[i]) {
-			add(a.Owners[i])
-		}
+		add(i)
 	}
 	return names
 }
