Check claims by random histories of concurrent daemons

Cause: the claim protocol had tests of single faults only. Change: rapid draws scripts of calls, pauses, crashes, false suspicions, outages, silent links, lost replies and late writes; they run on three daemons in virtual time. porcupine checks the history of each key against a sequential oracle, and after the faults nothing may stay claimed that nobody runs.

--- /dev/null
+++ b/claims/fuzz_test.go
@@ -0,0 +1,410 @@
+package claims_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jacinththread/jacinththread/claims"
+	"github.com/jacinththread/jacinththread/platform/platformtest"
+)
+
+const (
+	fuzzDaemons = 3
+	fuzzKeys    = 2
+	// fuzzSpan is the time in which calls begin and faults happen.
+	fuzzSpan = 8 * time.Second
+	// fuzzSettle is how long the platform is healthy before the last look. It
+	// is shorter than the retention.
+	fuzzSettle = 5 * time.Minute
+)
+
+// fuzzCall is one request of a caller.
+type fuzzCall struct {
+	At     time.Duration
+	Daemon int
+	Key    int
+	Body   byte
+	// Think is the time from the claim to the dispatch, a paused daemon's
+	// included.
+	Think time.Duration
+	Work  time.Duration
+	End   opKind
+}
+
+// fuzzFault is a fault at a time.
+type fuzzFault struct {
+	At     time.Duration
+	Kind   faultKind
+	Daemon int
+	For    time.Duration
+}
+
+type faultKind string
+
+const (
+	faultOutage  faultKind = "outage"
+	faultCrash   faultKind = "crash"
+	faultSuspect faultKind = "suspect"
+	faultSilent  faultKind = "silent"
+)
+
+// fuzzScript is one run.
+type fuzzScript struct {
+	Calls   []fuzzCall
+	Faults  []fuzzFault
+	Random  platformtest.RandomFaults
+	LateBy  time.Duration
+	Latency time.Duration
+}
+
+func drawDuration(longest time.Duration) *rapid.Generator[time.Duration] {
+	return rapid.Custom(func(t *rapid.T) time.Duration {
+		return time.Duration(rapid.Int64Range(0, int64(longest/time.Millisecond)).Draw(t, "ms")) * time.Millisecond
+	})
+}
+
+var drawCall = rapid.Custom(func(t *rapid.T) fuzzCall {
+	think := time.Duration(0)
+	if rapid.IntRange(0, 3).Draw(t, "paused") == 0 {
+		think = drawDuration(20*time.Second).Draw(t, "think")
+	}
+	return fuzzCall{
+		At:     drawDuration(fuzzSpan).Draw(t, "at"),
+		Daemon: rapid.IntRange(0, fuzzDaemons-1).Draw(t, "daemon"),
+		Key:    rapid.IntRange(0, fuzzKeys-1).Draw(t, "key"),
+		Body:   rapid.SampledFrom([]byte{'a', 'a', 'a', 'b'}).Draw(t, "body"),
+		Think:  think,
+		Work:   drawDuration(2*time.Second).Draw(t, "work"),
+		End:    rapid.SampledFrom([]opKind{opFinish, opFinish, opAbandon, opRelease, opRelease}).Draw(t, "end"),
+	}
+})
+
+var drawFault = rapid.Custom(func(t *rapid.T) fuzzFault {
+	return fuzzFault{
+		At:     drawDuration(fuzzSpan).Draw(t, "at"),
+		Kind:   rapid.SampledFrom([]faultKind{faultOutage, faultCrash, faultSuspect, faultSilent}).Draw(t, "kind"),
+		Daemon: rapid.IntRange(0, fuzzDaemons-1).Draw(t, "daemon"),
+		For:    drawDuration(4*time.Second).Draw(t, "for"),
+	}
+})
+
+var drawScript = rapid.Custom(func(t *rapid.T) fuzzScript {
+	share := rapid.SampledFrom([]float64{0, 0, 0.1, 0.3})
+	return fuzzScript{
+		Calls:  rapid.SliceOfN(drawCall, 2, 16).Draw(t, "calls"),
+		Faults: rapid.SliceOfN(drawFault, 0, 4).Draw(t, "faults"),
+		Random: platformtest.RandomFaults{
+			Seed:        rapid.Uint64().Draw(t, "seed"),
+			Unavailable: share.Draw(t, "unavailable"),
+			ReplyLost:   share.Draw(t, "reply lost"),
+			RequestLost: share.Draw(t, "request lost"),
+			Late:        share.Draw(t, "late"),
+		},
+		LateBy:  drawDuration(10*time.Second).Draw(t, "late by"),
+		Latency: drawDuration(20*time.Millisecond).Draw(t, "latency"),
+	}
+})
+
+// instance is one incarnation of a daemon.
+type instance struct {
+	owner   string
+	service *claims.Service
+	link    *platformtest.Link
+	crashed bool
+}
+
+// world runs one script.
+type world struct {
+	t       *testing.T
+	store   *platformtest.Platform
+	hist    *history
+	calls   sync.WaitGroup
+	mu      sync.Mutex
+	daemons [fuzzDaemons]*instance
+	born    int
+	dead    map[string]bool
+	ran     map[string]int
+	// open counts, by key, the attempts that hold a claim without an outcome.
+	open     map[string]int
+	finished map[string]string
+}
+
+func newWorld(t *testing.T, s fuzzScript) *world {
+	w := &world{
+		t: t, store: platformtest.New(), hist: &history{start: time.Now()},
+		dead: map[string]bool{}, ran: map[string]int{},
+		open: map[string]int{}, finished: map[string]string{},
+	}
+	w.store.SetLatency(s.Latency)
+	w.store.SetLateBy(s.LateBy)
+	w.store.SetRandomFaults(s.Random)
+	for i := range w.daemons {
+		w.daemons[i] = w.spawn(i)
+	}
+	return w
+}
+
+func (w *world) spawn(n int) *instance {
+	w.born++
+	in := &instance{owner: fmt.Sprintf("d%d#%d", n, w.born), link: w.store.Link()}
+	in.service = claims.New(claims.Config{
+		Store:       in.link,
+		Owner:       in.owner,
+		OwnerAlive:  w.alive,
+		CallTimeout: 500 * time.Millisecond,
+	})
+	assert.NilError(w.t, in.service.Start(w.t.Context()))
+	return in
+}
+
+func (w *world) alive(owner string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.dead[owner]
+}
+
+// markDead lets every daemon know that an owner died. Its operation starts a
+// little earlier, because a reader looks at the store first and then at this.
+func (w *world) markDead(owner string) {
+	call := w.hist.stamp() - int64(time.Second)
+	w.mu.Lock()
+	w.dead[owner] = true
+	w.mu.Unlock()
+	w.hist.add(op{kind: opOwnerDies, owner: owner}, call, w.hist.stamp())
+}
+
+func (w *world) daemon(n int) *instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.daemons[n]
+}
+
+func (w *world) fault(f fuzzFault) {
+	time.Sleep(f.At)
+	in := w.daemon(f.Daemon)
+	switch f.Kind {
+	case faultOutage:
+		w.store.SetDown(true)
+		time.Sleep(f.For)
+		w.store.SetDown(false)
+	case faultSuspect:
+		w.markDead(in.owner)
+	case faultSilent:
+		in.link.Set(platformtest.LinkSilent)
+		time.Sleep(f.For)
+		if !w.isCrashed(in) {
+			in.link.Set(platformtest.LinkUp)
+		}
+	case faultCrash:
+		w.crash(f.Daemon, in)
+	}
+}
+
+func (w *world) isCrashed(in *instance) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return in.crashed
+}
+
+func (w *world) crash(n int, in *instance) {
+	w.mu.Lock()
+	if in.crashed {
+		w.mu.Unlock()
+		return
+	}
+	in.crashed = true
+	w.daemons[n] = w.spawn(n)
+	w.mu.Unlock()
+	in.link.Set(platformtest.LinkDown)
+	w.stop(in)
+	w.markDead(in.owner)
+}
+
+func (w *world) stop(in *instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = in.service.Stop(ctx)
+}
+
+func keyName(n int) string { return "key" + strconv.Itoa(n) }
+
+func (w *world) begin(in *instance, key string, body byte) (claims.Attempt, op) {
+	o := op{kind: opBegin, key: key, owner: in.owner, body: body}
+	call := w.hist.stamp()
+	k := claims.Key{Customer: "c", Service: "s", Token: key}
+	a, err := in.service.Begin(w.t.Context(), k, sha256.Sum256([]byte{body}))
+	assert.NilError(w.t, err)
+	o.attempt, o.verdict = a.ID, a.Verdict
+	if a.Answer != nil {
+		o.answer = string(a.Answer.Body)
+	}
+	w.hist.add(o, call, w.hist.stamp())
+	return a, o
+}
+
+// call plays one caller's request through a daemon.
+func (w *world) call(c fuzzCall) {
+	time.Sleep(c.At)
+	in := w.daemon(c.Daemon)
+	a, o := w.begin(in, keyName(c.Key), c.Body)
+	if a.Verdict != claims.Run {
+		return
+	}
+	w.count(o.key, 1)
+	time.Sleep(c.Think)
+	if c.End == opRelease {
+		w.release(in, a, o)
+		return
+	}
+	if !w.dispatch(in, o) {
+		return
+	}
+	time.Sleep(c.Work)
+	w.record(in, a, o, c.End)
+}
+
+func (w *world) count(key string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open[key] += n
+}
+
+func (w *world) release(in *instance, a claims.Attempt, o op) {
+	if w.isCrashed(in) {
+		return
+	}
+	w.count(o.key, -1)
+	o.kind = opRelease
+	w.hist.add(o, w.hist.stamp(), forever)
+	in.service.Release(a)
+}
+
+// dispatch is the backend server: it counts what it runs.
+func (w *world) dispatch(in *instance, o op) bool {
+	if w.isCrashed(in) {
+		return false
+	}
+	w.mu.Lock()
+	w.ran[o.key]++
+	w.mu.Unlock()
+	o.kind = opDispatch
+	w.hist.add(o, w.hist.stamp(), w.hist.stamp())
+	return true
+}
+
+func (w *world) record(in *instance, a claims.Attempt, o op, end opKind) {
+	if w.isCrashed(in) {
+		return
+	}
+	o.kind, o.answer = end, "answer of "+a.ID
+	call, ret := w.hist.stamp(), forever
+	var err error
+	if end == opFinish {
+		err = in.service.Finish(w.t.Context(), a, claims.Answer{Status: 200, Body: []byte(o.answer)})
+		w.mu.Lock()
+		w.finished[o.key] = o.answer
+		w.mu.Unlock()
+	} else {
+		err = in.service.Abandon(w.t.Context(), a)
+	}
+	if err == nil {
+		ret = w.hist.stamp()
+	}
+	w.hist.add(o, call, ret)
+}
+
+// settled is what a run ended with.
+type settled struct {
+	hist    *history
+	ran     map[string]int
+	crashed bool
+	// last holds the verdict of a fresh attempt on each key, after all faults.
+	last     map[string]op
+	open     map[string]int
+	finished map[string]string
+}
+
+func runScript(t *testing.T, s fuzzScript) settled {
+	w := newWorld(t, s)
+	for _, f := range s.Faults {
+		w.calls.Go(func() { w.fault(f) })
+	}
+	for _, c := range s.Calls {
+		w.calls.Go(func() { w.call(c) })
+	}
+	w.calls.Wait()
+	w.store.SetDown(false)
+	w.store.SetRandomFaults(platformtest.RandomFaults{})
+	time.Sleep(fuzzSettle)
+	out := settled{hist: w.hist, ran: w.ran, open: w.open, finished: w.finished, last: map[string]op{}}
+	for k := range fuzzKeys {
+		_, o := w.begin(w.daemons[0], keyName(k), 'a')
+		out.last[o.key] = o
+	}
+	out.crashed = w.born > fuzzDaemons
+	for _, in := range w.daemons {
+		w.stop(in)
+	}
+	return out
+}
+
+// check returns the first fault of a run.
+func (s settled) check() error {
+	for key, n := range s.ran {
+		if n > 1 {
+			return fmt.Errorf("%s ran %d times", key, n)
+		}
+	}
+	if err := s.hist.check(); err != nil {
+		return err
+	}
+	if s.crashed {
+		return nil
+	}
+	for key, o := range s.last {
+		if err := s.checkLast(key, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkLast checks that nothing stays claimed that nobody runs, and that no
+// outcome is lost without a crash.
+func (s settled) checkLast(key string, o op) error {
+	answer, finished := s.finished[key]
+	switch {
+	case s.open[key] == 0 && o.verdict != claims.Run:
+		return fmt.Errorf("%s is free and a new attempt got %s", key, o.verdict)
+	case finished && o.verdict != claims.Replay && o.verdict != claims.Mismatch:
+		return fmt.Errorf("%s ran and a repeat got %s", key, o.verdict)
+	case finished && o.verdict == claims.Replay && o.answer != answer:
+		return fmt.Errorf("%s was answered %q and replayed %q", key, answer, o.answer)
+	}
+	return nil
+}
+
+// TestFuzzAtMostOnce runs random scripts of concurrent daemons against the
+// oracle.
+func TestFuzzAtMostOnce(t *testing.T) {
+	assert.NilError(t, flag.Set("rapid.seed", "1"))
+	assert.NilError(t, flag.Set("rapid.nofailfile", "true"))
+	rapid.Check(t, func(rt *rapid.T) {
+		script := drawScript.Draw(rt, "script")
+		var out settled
+		synctest.Test(t, func(t *testing.T) { out = runScript(t, script) })
+		if err := out.check(); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/claims/history_test.go
@@ -0,0 +1,200 @@
+package claims_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/jacinththread/jacinththread/claims"
+)
+
+// opKind is a kind of operation in a history of one key.
+type opKind uint8
+
+const (
+	opBegin opKind = iota + 1
+	opDispatch
+	opFinish
+	opAbandon
+	opRelease
+	opOwnerDies
+)
+
+// op is what one operation did.
+type op struct {
+	kind    opKind
+	key     string
+	attempt string
+	owner   string
+	body    byte
+	verdict claims.Verdict
+	// answer is what was recorded or replayed.
+	answer string
+}
+
+// history records the operations of concurrent daemons.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+	// tick makes times distinct that fall into the same virtual instant.
+	tick int64
+}
+
+// stamp returns the next time, in virtual nanoseconds with a tie break.
+func (h *history) stamp() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tick = max(h.tick+1, int64(time.Since(h.start)))
+	return h.tick
+}
+
+// forever is the return time of an operation that may take effect any time
+// after its call.
+const forever = int64(1) << 62
+
+func (h *history) add(o op, call, ret int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{Input: o, Call: call, Return: ret})
+}
+
+// keyState is the oracle's state of one key.
+type keyState struct {
+	// owner is empty while the key is free.
+	owner      string
+	attempt    string
+	body       byte
+	dispatched bool
+	finished   bool
+	abandoned  bool
+	answer     string
+	// ghosts are attempts that ended undecided: their claims may be seen by
+	// others until they are withdrawn.
+	ghosts string
+	// dead lists the owners that are known to have died.
+	dead string
+}
+
+// has reports whether a comma-terminated list holds a name.
+func has(list, name string) bool {
+	return name != "" && strings.Contains(list, name+",")
+}
+
+// step is the oracle: it returns whether the operation is allowed in the state
+// and the state after it.
+func (s keyState) step(o op) (bool, keyState) {
+	switch o.kind {
+	case opOwnerDies:
+		s.dead += o.owner + ","
+		return true, s
+	case opBegin:
+		return s.begin(o)
+	case opDispatch:
+		ok := s.attempt == o.attempt && !s.dispatched
+		s.dispatched = true
+		return ok, s
+	case opFinish:
+		ok := s.attempt == o.attempt && s.dispatched
+		s.finished, s.answer = true, o.answer
+		return ok, s
+	case opAbandon:
+		ok := s.attempt == o.attempt && s.dispatched
+		s.abandoned = true
+		return ok, s
+	case opRelease:
+		ok := s.attempt == o.attempt && !s.dispatched
+		return ok, keyState{ghosts: s.ghosts, dead: s.dead}
+	}
+	return false, s
+}
+
+func (s keyState) begin(o op) (bool, keyState) {
+	free := s.attempt == ""
+	ghost := s.ghosts != ""
+	switch o.verdict {
+	case claims.Run:
+		ok := free
+		s.attempt, s.owner, s.body = o.attempt, o.owner, o.body
+		return ok, s
+	case claims.Replay:
+		return s.finished && s.body == o.body && s.answer == o.answer, s
+	case claims.InProgress:
+		return ghost || !free && s.body == o.body && !s.finished && !s.abandoned, s
+	case claims.Mismatch:
+		return ghost || !free && s.body != o.body, s
+	case claims.Unknown:
+		return s.mayBeUnknown(o), s
+	case claims.Undecided:
+		s.ghosts += o.owner + ","
+		return true, s
+	case claims.Unavailable:
+		return true, s
+	}
+	return false, s
+}
+
+func (s keyState) mayBeUnknown(o op) bool {
+	if s.attempt != "" && s.body == o.body && !s.finished && (s.abandoned || has(s.dead, s.owner)) {
+		return true
+	}
+	for _, g := range strings.Split(s.ghosts, ",") {
+		if has(s.dead, g) {
+			return true
+		}
+	}
+	return false
+}
+
+// keyModel checks the history of one key.
+var keyModel = porcupine.Model{
+	Init: func() any { return keyState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		ok, next := state.(keyState).step(input.(op))
+		return ok, next
+	},
+	Equal:             func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
+}
+
+// checkTimeout bounds the check of one key's history.
+const checkTimeout = 30 * time.Second
+
+// byKey splits a history. The death of an owner concerns every key.
+func (h *history) byKey() map[string][]porcupine.Operation {
+	split := map[string][]porcupine.Operation{}
+	for _, x := range h.ops {
+		if k := x.Input.(op).key; k != "" {
+			split[k] = append(split[k], x)
+		}
+	}
+	for _, x := range h.ops {
+		if x.Input.(op).kind == opOwnerDies {
+			for k := range split {
+				split[k] = append(split[k], x)
+			}
+		}
+	}
+	return split
+}
+
+// check returns a description of the first key whose history is not allowed.
+func (h *history) check() error {
+	for key, ops := range h.byKey() {
+		result := porcupine.CheckOperationsTimeout(keyModel, ops, checkTimeout)
+		if result == porcupine.Ok {
+			continue
+		}
+		text := ""
+		slices.SortFunc(ops, func(a, b porcupine.Operation) int { return int(a.Call - b.Call) })
+		for _, x := range ops {
+			text += fmt.Sprintf("\n%d..%d %+v", x.Call, x.Return, x.Input)
+		}
+		return fmt.Errorf("history of key %s is %s:%s", key, result, text)
+	}
+	return nil
+}
