Schedule by the policy and rebuild the ledger from declarations

Cause: the first scheduler ignored fairness and estimates, granted at full width after a takeover, and leaked a slot for each Done that was lost. Change: the service decides by policy.Pool. After a takeover, or a pause of the daemon, it asks all daemons what they run and grants a quarter of the slots until they answered or a second passed; it asks again about slots that were not confirmed for ten seconds or whose link failed. A gateway that leaves a grant unanswered gets no others until it is heard from. Late copies of the messages of an ended request are ignored. Decisions can be observed as events. Two tests changed: an unanswered grant is offered again once its gateway is heard from, and its slot meanwhile goes to another; a reservation that only a leaving server could run is refused at once instead of queued. The wait is a histogram: a go-metrics timer starts a goroutine that never ends, so tests in virtual time would not end either. Conclusion: 13 tests of the service pass with the race detector.

--- a/policy/grant.go
+++ b/policy/grant.go
@@ -172,6 +172,8 @@
 	Observation Observation
 	// Allowance is set if the slot was granted out of tier order.
 	Allowance bool
+	// Canceled is set if the work was ended early by the caller.
+	Canceled bool
 }
 
 // Observe learns from a finished request.
@@ -179,6 +181,9 @@
 	if f.Allowance {
 		p.allowance.Charge(f.Took - p.load.Service())
 	}
+	if f.Canceled {
+		return
+	}
 	if !f.Observation.Failed {
 		p.load.Finished(f.Took, f.Cost)
 	}
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -80,6 +80,9 @@
 	load      Load
 	allowance Allowance
 
+	// held names gateways that get no grants because they do not answer.
+	held map[string]bool
+
 	withdrawn []Withdrawal
 	free      []*Server
 	claims    []string
@@ -94,14 +97,30 @@
 
 // NewPool returns a pool without servers.
 func NewPool(spec PoolSpec) *Pool {
-	p := &Pool{queue: NewQueue(), load: NewLoad(), classes: map[string]*classClock{}}
-	p.fits = func(r *Reservation) bool {
-		return slices.ContainsFunc(p.free, func(s *Server) bool { return s.serves(r) })
-	}
+	p := &Pool{queue: NewQueue(), load: NewLoad(), classes: map[string]*classClock{}, held: map[string]bool{}}
+	p.fits = func(r *Reservation) bool { return !p.held[r.Key.Gateway] && p.hasFree(r) }
 	p.Configure(spec)
 	return p
 }
 
+func (p *Pool) hasFree(r *Reservation) bool {
+	for _, s := range p.free {
+		if s.serves(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// Hold stops or resumes grants to a gateway.
+func (p *Pool) Hold(gateway string, held bool) {
+	if held {
+		p.held[gateway] = true
+		return
+	}
+	delete(p.held, gateway)
+}
+
 // Configure applies a new description. Waiting reservations stay.
 func (p *Pool) Configure(spec PoolSpec) {
 	p.spec = spec
@@ -177,11 +196,14 @@
 func (p *Pool) reserve(now time.Time, r *Reservation) Verdict {
 	clock := p.classes[r.Class]
 	if clock == nil || !p.servable(r) {
+		p.queue.Remove(r.Key)
 		return Verdict{Refusal: RefusedNoServer, RetryAfter: minRetryAfter}
 	}
 	r.Tier = clock.spec.Tier
 	clock.demand(now)
-	p.queue.Remove(r.Key)
+	if p.queue.update(r) {
+		return Verdict{Wait: p.load.Wait(p.queue.Ahead(r), p.Slots())}
+	}
 	wait := p.estimate(now, r)
 	if !p.feasible(now, r, clock, wait) {
 		return Verdict{Refusal: RefusedDeadline, RetryAfter: RetryAfter(wait, clock.spec.Target.FirstToken)}
@@ -222,7 +244,7 @@
 func (p *Pool) estimate(now time.Time, r *Reservation) time.Duration {
 	if p.nothingAhead(r.Tier) {
 		p.survey(now)
-		if p.fits(r) {
+		if p.hasFree(r) {
 			return 0
 		}
 	}
@@ -309,6 +331,14 @@
 	p.withdrawn = append(p.withdrawn, Withdrawal{Reservation: r, Refusal: why, RetryAfter: RetryAfter(wait, target)})
 }
 
+// RefuseAll withdraws everything that waits.
+func (p *Pool) RefuseAll(now time.Time, why Refusal) {
+	for p.queue.Len() > 0 {
+		r, _ := p.queue.Pop(nil, nil)
+		p.withdraw(now, r, why)
+	}
+}
+
 // Withdrawn returns the reservations refused since the last call. The slice is
 // valid until the next call on the pool.
 func (p *Pool) Withdrawn() []Withdrawal {
@@ -317,18 +347,20 @@
 	return w
 }
 
-// Retain withdraws, without an answer, the reservations of gateways for which
-// keep is false.
-func (p *Pool) Retain(keep func(gateway string) bool) {
+// Drop withdraws, without an answer, the reservations of a gateway that is
+// gone and returns their keys in order.
+func (p *Pool) Drop(gateway string) []Key {
 	var gone []Key
 	p.queue.Each(func(r *Reservation) {
-		if !keep(r.Key.Gateway) {
+		if r.Key.Gateway == gateway {
 			gone = append(gone, r.Key)
 		}
 	})
+	slices.SortFunc(gone, compareKeys)
 	for _, k := range gone {
 		p.queue.Remove(k)
 	}
+	return gone
 }
 
 func compareKeys(a, b Key) int {
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -56,6 +56,17 @@
 	it.class.push(it)
 }
 
+// update applies a repeated reservation to the one that waits. The deadline and
+// the place in the queue stay. It reports false if none waits.
+func (q *Queue) update(r *Reservation) bool {
+	it := q.index[r.Key]
+	if it == nil || it.Tier != r.Tier || it.Class != r.Class {
+		return false
+	}
+	it.Avoid = r.Avoid
+	return true
+}
+
 // Remove withdraws a reservation and reports whether it waited.
 func (q *Queue) Remove(k Key) bool {
 	it := q.index[k]
--- a/scheduler/ledger.go
+++ b/scheduler/ledger.go
@@ -1,42 +1,40 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jacinththread/jacinththread/policy"
+)
 
 // entry is one slot that is granted or in use.
 type entry struct {
-	gateway  string
-	id       uint64
-	grantID  uint64
-	pool     string
-	server   string
-	class    string
-	customer string
+	key     policy.Key
+	grantID uint64
+	pool    string
+	server  string
+	class   string
+	// owner is that of the customer who uses the slot.
+	owner string
+	// pick is the grant; it is empty for a slot that was adopted.
+	pick policy.Pick
+	// attempts counts the grants offered for the reservation.
+	attempts int
 	accepted bool
 	// expires is when a grant that is not accepted is taken back.
 	expires time.Time
 	started time.Time
-	waiting *reservation
-}
-
-// runKey identifies a request in flight on a server.
-type runKey struct {
-	gateway string
-	id      uint64
-	server  string
+	// confirmed is when the gateway last said that it uses the slot.
+	confirmed time.Time
 }
 
-// requestKey identifies a request of a gateway.
-type requestKey struct {
-	gateway string
-	id      uint64
-}
-
-// ledger records the slots in use, by grant and by request.
+// ledger records the slots granted and in use. A request uses at most one.
 type ledger struct {
 	nextGrant uint64
 	grants    map[uint64]*entry
-	offered   map[requestKey]*entry
-	running   map[runKey]*entry
+	offered   map[policy.Key]*entry
+	running   map[policy.Key]*entry
 }
 
 // newLedger numbers grants from the current time so that the grants of an
@@ -45,41 +43,60 @@
 	return ledger{
 		nextGrant: uint64(now.UnixNano()),
 		grants:    map[uint64]*entry{},
-		offered:   map[requestKey]*entry{},
-		running:   map[runKey]*entry{},
+		offered:   map[policy.Key]*entry{},
+		running:   map[policy.Key]*entry{},
 	}
 }
 
-func (e *entry) runKey() runKey {
-	return runKey{gateway: e.gateway, id: e.id, server: e.server}
-}
-
-func (e *entry) requestKey() requestKey {
-	return requestKey{gateway: e.gateway, id: e.id}
-}
-
 // offer records a new grant.
 func (l *ledger) offer(e *entry) {
 	l.nextGrant++
 	e.grantID = l.nextGrant
 	l.grants[e.grantID] = e
-	l.offered[e.requestKey()] = e
+	l.offered[e.key] = e
 }
 
-// accept turns an offer into a request in flight.
-func (l *ledger) accept(e *entry) {
+// accept turns an offer into a request in flight, or records one that was not
+// offered.
+func (l *ledger) accept(e *entry, now time.Time) {
+	l.unoffer(e)
 	e.accepted = true
-	delete(l.grants, e.grantID)
-	delete(l.offered, e.requestKey())
-	l.running[e.runKey()] = e
+	e.started = now
+	l.running[e.key] = e
 }
 
 // remove forgets an entry.
 func (l *ledger) remove(e *entry) {
 	if e.accepted {
-		delete(l.running, e.runKey())
+		delete(l.running, e.key)
 		return
 	}
+	l.unoffer(e)
+}
+
+func (l *ledger) unoffer(e *entry) {
+	if l.offered[e.key] == e {
+		delete(l.offered, e.key)
+	}
 	delete(l.grants, e.grantID)
-	delete(l.offered, e.requestKey())
+}
+
+// matching returns the entries that match, in the
+// order of their keys so that decisions do not depend on map order.
+func (l *ledger) matching(match func(*entry) bool) []*entry {
+	var found []*entry
+	for _, e := range l.grants {
+		if match(e) {
+			found = append(found, e)
+		}
+	}
+	for _, e := range l.running {
+		if match(e) {
+			found = append(found, e)
+		}
+	}
+	slices.SortFunc(found, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.key.Gateway, b.key.Gateway), cmp.Compare(a.key.ID, b.key.ID), cmp.Compare(a.grantID, b.grantID))
+	})
+	return found
 }
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -11,11 +12,15 @@
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/policy"
 )
 
 const (
 	// tickInterval is the period of expiry checks.
 	tickInterval = 100 * time.Millisecond
+	// pauseBound is the time between two ticks from which the daemon counts as
+	// having been paused.
+	pauseBound = 2 * time.Second
 	// grantMargin is added to the validity of a grant before its slot is taken
 	// back, for the time the grant and its answer travel.
 	grantMargin = 500 * time.Millisecond
@@ -35,6 +40,9 @@
 	GrantFor time.Duration
 	Log      *log.Logger
 	Metrics  metrics.Registry
+	// Observe receives each decision, if set. It is called under the service's
+	// lock and must not block.
+	Observe func(Event)
 }
 
 // Service grants the slots of the backend servers that are assigned to the
@@ -43,11 +51,18 @@
 	cfg     Config
 	metrics counters
 
-	mu      sync.Mutex
-	pools   map[string]*pool
-	ledger  ledger
-	outbox  []outgoing
-	stopped bool
+	mu       sync.Mutex
+	active   *bundle.Active
+	pools    map[string]*pool
+	ordered  []*pool
+	ledger   ledger
+	gateways map[string]*gateway
+	rounds   map[uint64]*round
+	ended    recentKeys
+	lastSeq  uint64
+	lastTick time.Time
+	outbox   []outgoing
+	stopped  bool
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -68,16 +83,22 @@
 		cfg.GrantFor = defaultGrantFor
 	}
 	if cfg.Log == nil {
-		cfg.Log = log.New(nil)
+		cfg.Log = log.New(io.Discard)
 	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
+	now := time.Now()
 	s := &Service{
-		cfg:     cfg,
-		metrics: newCounters(cfg.Metrics),
-		pools:   map[string]*pool{},
-		ledger:  newLedger(time.Now()),
+		cfg:      cfg,
+		metrics:  newCounters(cfg.Metrics),
+		pools:    map[string]*pool{},
+		ledger:   newLedger(now),
+		gateways: map[string]*gateway{},
+		rounds:   map[uint64]*round{},
+		ended:    recentKeys{},
+		lastSeq:  uint64(now.UnixNano()),
+		lastTick: now,
 	}
 	s.register()
 	return s
@@ -100,10 +121,18 @@
 	}
 	s.cancel()
 	<-s.done
-	s.locked(s.refuseAll)
+	s.locked(s.stop)
 	return nil
 }
 
+func (s *Service) stop(now time.Time) {
+	s.stopped = true
+	for _, p := range s.ordered {
+		p.RefuseAll(now, policy.RefusedNoServer)
+		s.refuseWithdrawn(now, p, ReasonStopping, 0)
+	}
+}
+
 // run refreshes the pools when membership or the bundle change and checks
 // expiries on each tick.
 func (s *Service) run(ctx context.Context) {
@@ -114,23 +143,66 @@
 		view := s.cfg.View.Changed()
 		active := s.cfg.Bundles.Changed()
 		s.locked(s.refresh)
-		for again := true; again; {
-			select {
-			case <-ctx.Done():
-				return
-			case <-view:
-				again = false
-			case <-active:
-				again = false
-			case <-ticker.C:
-				s.locked(s.tick)
+		if !s.ticks(ctx, ticker.C, view, active) {
+			return
+		}
+	}
+}
+
+// ticks runs until membership or the bundle change. It reports false if the
+// service stops.
+func (s *Service) ticks(ctx context.Context, tick <-chan time.Time, view, active <-chan struct{}) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-view:
+			return true
+		case <-active:
+			return true
+		case <-tick:
+			s.locked(s.tick)
+		}
+	}
+}
+
+// tick checks everything that depends on the passing of time.
+func (s *Service) tick(now time.Time) {
+	paused := now.Sub(s.lastTick) > pauseBound
+	s.lastTick = now
+	if paused {
+		s.recheckAll(now)
+	}
+	s.expireGrants(now)
+	s.checkRounds(now)
+	s.audit(now)
+	for _, p := range s.ordered {
+		p.Expire(now)
+		s.refuseWithdrawn(now, p, 0, 0)
+		s.grant(now, p)
+	}
+	s.updateGauges()
+}
+
+func (s *Service) updateGauges() {
+	waiting, slots, stragglers := 0, 0, 0
+	for _, p := range s.ordered {
+		waiting += p.Queue().Len()
+		slots += p.Slots()
+		for _, srv := range p.Servers() {
+			if srv.Health.State() != policy.Healthy {
+				stragglers++
 			}
 		}
 	}
+	s.metrics.waiting.Update(int64(waiting))
+	s.metrics.slots.Update(int64(slots))
+	s.metrics.stragglers.Update(int64(stragglers))
+	s.metrics.running.Update(int64(len(s.ledger.running)))
 }
 
 // locked runs f under the lock and sends the messages it queued afterwards,
-// because the bus delivers messages to the local daemon at once.
+// because the bus may deliver messages to the local daemon at once.
 func (s *Service) locked(f func(now time.Time)) {
 	s.mu.Lock()
 	f(time.Now())
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -34,23 +34,16 @@
 }
 
 func (s *Service) snapshotPool(p *pool) []PoolSnapshot {
-	slots := 0
-	for _, srv := range p.servers {
-		slots += srv.slots
-	}
 	out := make([]PoolSnapshot, bundle.MaxTiers)
 	for tier := range out {
-		out[tier] = PoolSnapshot{Pool: p.name, Tier: tier, Slots: slots}
-	}
-	for _, r := range p.waiting {
-		out[r.tier].Waiting++
+		out[tier] = PoolSnapshot{Pool: p.name, Tier: tier, Waiting: p.Queue().Waiting(tier), Slots: p.Slots()}
 	}
 	for _, e := range s.ledger.running {
 		if e.pool != p.name {
 			continue
 		}
-		if class := s.class(e.class); class != nil {
-			out[class.Tier].Running++
+		if class := s.active.Class(e.class); class != nil {
+			out[classSpec(*class).Tier].Running++
 		}
 	}
 	return out
