--- a/bundle/errors.go
+++ b/bundle/errors.go
@@ -11,6 +11,7 @@
 var (
 	ErrNoVersion       = errors.New("no bundle version is in force yet")
 	ErrVersionNotFound = errors.New("bundle version does not exist")
+	ErrHistoryPruned   = errors.New("versions that would tell what became of the change are no longer kept")
 	ErrChangeNotFound  = errors.New("change does not exist")
 	ErrChangeIDTaken   = errors.New("change id is used by another proposal")
 	ErrBadChangeID     = errors.New("change id is not 1 to 100 letters, digits, dots, dashes or underscores")
--- /dev/null
+++ b/bundle/messages.go
@@ -0,0 +1,30 @@
+package bundle
+
+import "github.com/jacinththread/jacinththread/peer"
+
+// GossipDigest tells which version is in force on the sender.
+type GossipDigest struct {
+	// Version is zero if the sender has none in force.
+	Version uint64
+}
+
+// GossipRequest asks for the record of a version or a higher one.
+type GossipRequest struct {
+	Version uint64
+}
+
+// GossipBody carries the record of a version that was put in force.
+type GossipBody struct {
+	Version uint64
+	// Record is the JSON text of a Record, compressed with gzip.
+	Record []byte
+}
+
+// Kind implements peer.Message.
+func (*GossipDigest) Kind() peer.Kind { return peer.KindBundleDigest }
+
+// Kind implements peer.Message.
+func (*GossipRequest) Kind() peer.Kind { return peer.KindBundleRequest }
+
+// Kind implements peer.Message.
+func (*GossipBody) Kind() peer.Kind { return peer.KindBundleBody }
--- a/bundle/parse_test.go
+++ b/bundle/parse_test.go
@@ -173,3 +173,20 @@
 	}
 	return string(out)
 }
+
+func BenchmarkParse(b *testing.B) {
+	v := sample()
+	for i := range 1200 {
+		name := "customer-" + bits(i, 11)
+		v.Customers = append(v.Customers, Customer{
+			Name: name, TokenDigests: []string{TokenDigest(name)}, Weight: 1, Owner: "south", Classes: []string{"batch"},
+		})
+	}
+	data := text(b, v)
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		if _, findings := Parse("b", data); len(findings) > 0 {
+			b.Fatal(findings)
+		}
+	}
+}
--- a/bundle/roll.go
+++ b/bundle/roll.go
@@ -32,6 +32,7 @@
 			var next Pointer
 			next, err = s.swap(ctx, p, operator, rev)
 			if err == nil {
+				s.prune(ctx, next)
 				return next, nil
 			}
 		}
@@ -65,6 +66,9 @@
 	at := current
 	for at.Base > p.Base {
 		r, err := s.Version(ctx, at.Base)
+		if errors.Is(err, ErrVersionNotFound) {
+			return Pointer{}, trace.Wrap(ErrHistoryPruned, "change %q", p.ChangeID)
+		}
 		if err != nil {
 			return Pointer{}, err
 		}
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -116,6 +116,9 @@
 	}
 	for n := p.Version; n > 0; {
 		r, err := s.Version(ctx, n)
+		if errors.Is(err, ErrVersionNotFound) && n != p.Version {
+			return nil // Older versions were pruned.
+		}
 		if err != nil {
 			return err
 		}
--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -211,3 +211,21 @@
 	assert.Equal(t, Diff("1\n2\n3\n4\n5\n6\n7\n8\n9", "1\n2\n3\n4\nx\n6\n7\n8\n9\n0"),
 		"...\n 2\n 3\n 4\n-5\n+x\n 6\n 7\n 8\n 9\n+0\n")
 }
+
+func TestOldVersionsArePruned(t *testing.T) {
+	p := platformtest.New()
+	s := NewStore(p)
+	const rolls = KeptVersions + 20
+	for i := range rolls {
+		mustRoll(t, s, fmt.Sprint("change-", i+1), uint64(i), variant(t, i))
+	}
+	assert.Equal(t, len(p.Snapshot()), 2*KeptVersions+1)
+	history, err := s.History(t.Context(), rolls)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), KeptVersions)
+	_, err = s.Roll(t.Context(), "change-1", "ana")
+	assert.ErrorIs(t, err, ErrChangeNotFound)
+	at, err := s.Roll(t.Context(), "change-30", "ana")
+	assert.NilError(t, err)
+	assert.Equal(t, at.Version, uint64(30))
+}
