Keep the outcome of a roll unknown when settling it fails

A roll whose reply was lost read bundle/current, found another change rolled over its own, and then met an outage while it read the versions in between. It returned the outage, which promises that the roll took no effect. The error is now ErrOutcomeUnknown, and a repeat settles it.

Also poll every 2 s on a daemon that hears no other: one cut off from its peers in a fleet of 100 took longer than 4 s.

--- a/bundle/activator.go
+++ b/bundle/activator.go
@@ -65,6 +65,8 @@
 	// packed is the body that other daemons get.
 	packed *GossipBody
 	join   joinState
+	// heardAt is when the last digest arrived.
+	heardAt time.Time
 	// requested is the version asked for last, at requestedAt.
 	requested   uint64
 	requestedAt time.Time
--- a/bundle/activator_test.go
+++ b/bundle/activator_test.go
@@ -139,7 +139,7 @@
 }
 
 func TestDaemonCutOffFromPeersReadsTheStore(t *testing.T) {
-	inFleet(t, 9, 7, func(t *testing.T, f *fleet) {
+	inFleet(t, 9, 100, func(t *testing.T, f *fleet) {
 		for _, p := range f.listed() {
 			if p.Name != "d2" {
 				f.net.Cut("d2", p.Name)
--- a/bundle/follow.go
+++ b/bundle/follow.go
@@ -28,6 +28,9 @@
 	minPollInterval = 2 * time.Second
 	// pollsPerSecond bounds the polls of all daemons together.
 	pollsPerSecond = 20
+	// isolatedAfter is the time without a message after which a daemon no longer
+	// counts on others to tell it.
+	isolatedAfter = 2 * time.Second
 	// firstRetry is the pause after a first failed read.
 	firstRetry = 250 * time.Millisecond
 )
@@ -37,17 +40,17 @@
 func (a *Activator) followStore(ctx context.Context, first chan<- struct{}) {
 	err := a.read(ctx)
 	close(first)
-	pause := firstRetry
+	wait := firstRetry
 	for ctx.Err() == nil {
 		if err != nil {
 			a.metrics.storeFailures.Inc(1)
 			a.cfg.Log.Debug("bundle not read from the store", "err", err)
-			a.sleep(ctx, pause)
-			pause = min(2*pause, a.pollInterval())
+			a.sleep(ctx, wait)
+			wait = min(2*wait, a.pollInterval())
 			err = a.read(ctx)
 			continue
 		}
-		pause = firstRetry
+		wait = firstRetry
 		err = a.waitForChange(ctx)
 	}
 }
@@ -55,7 +58,7 @@
 // waitForChange watches or, on daemons that do not watch, polls once.
 func (a *Activator) waitForChange(ctx context.Context) error {
 	if !a.watches() {
-		a.sleep(ctx, a.pollInterval())
+		a.waitToPoll(ctx)
 		return a.read(ctx)
 	}
 	bound, cancel := context.WithTimeout(ctx, watchBound)
@@ -71,6 +74,19 @@
 	return a.follow(ctx, e)
 }
 
+// waitToPoll waits for the poll interval, which may shrink on the way.
+func (a *Activator) waitToPoll(ctx context.Context) {
+	start := time.Now()
+	factor := a.jitter()
+	for ctx.Err() == nil {
+		left := scale(a.pollInterval(), factor) - time.Since(start)
+		if left <= 0 {
+			return
+		}
+		pause(ctx, min(isolatedAfter/2, left))
+	}
+}
+
 // read reads bundle/current once and follows it.
 func (a *Activator) read(ctx context.Context) error {
 	bound, cancel := context.WithTimeout(ctx, readTimeout)
@@ -157,17 +173,36 @@
 func hashName(name string) uint64 { return xxhash.Sum64String("bundle/" + name) }
 
 // pollInterval grows with the number of daemons, so that the store's load does
-// not.
+// not. A daemon that hears of no other polls often.
 func (a *Activator) pollInterval() time.Duration {
+	a.mu.Lock()
+	isolated := time.Since(a.heardAt) > isolatedAfter
+	a.mu.Unlock()
+	if isolated {
+		return minPollInterval
+	}
 	n := time.Duration(len(a.cfg.Peers()))
 	return max(minPollInterval, n*time.Second/pollsPerSecond)
 }
 
 // sleep waits between half of d and one and a half times d.
 func (a *Activator) sleep(ctx context.Context, d time.Duration) {
+	pause(ctx, scale(d, a.jitter()))
+}
+
+// jitter returns a number between 0.5 and 1.5.
+func (a *Activator) jitter() float64 {
 	a.mu.Lock()
-	d = d/2 + time.Duration(a.rng.Int64N(int64(d)))
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	return 0.5 + a.rng.Float64()
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
+}
+
+// pause waits until d has passed or ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/bundle/gossip.go
+++ b/bundle/gossip.go
@@ -88,6 +88,7 @@
 	theirs := m.(*GossipDigest).Version
 	listed := a.namesToJoin()
 	a.mu.Lock()
+	a.heardAt = time.Now()
 	if !a.join.done {
 		a.join.answer(from, theirs)
 		a.tryJoin(listed)
--- a/bundle/roll.go
+++ b/bundle/roll.go
@@ -26,7 +26,8 @@
 	for {
 		current, rev, err := s.current(ctx)
 		if err == nil && current.Version != p.Base {
-			return s.settled(ctx, p, current)
+			at, err := s.settled(ctx, p, current)
+			return at, r.result(err)
 		}
 		if err == nil {
 			var next Pointer
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -180,6 +180,7 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = firstBackoff
 	wait.MaxInterval = maxBackoff
+	wait.RandomizationFactor = 0 // Few operators write; their times stay reproducible.
 	return &retry{wait: wait}
 }
 
--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -229,3 +229,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, at.Version, uint64(30))
 }
+
+// The change took effect, another was rolled over it, and the store fails
+// while the outcome is being settled.
+func TestOutageWhileSettlingLeavesTheOutcomeUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformtest.New()
+		s := NewStore(p)
+		mustRoll(t, s, "one", 0, variant(t, 1))
+		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
+		assert.NilError(t, err)
+		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
+		assert.NilError(t, err)
+		p.FailNext(platformtest.OpSwap, 1, platformtest.ReplyLost)
+		rolled := make(chan error)
+		go func() {
+			_, err := s.Roll(t.Context(), "two", "ana")
+			rolled <- err
+		}()
+		synctest.Wait()
+		mustRoll(t, s, "three", 2, variant(t, 3))
+		p.FailNext(platformtest.OpGet, 1, platformtest.None)
+		p.FailNext(platformtest.OpGet, 1, platformtest.Unavailable)
+		assert.ErrorIs(t, <-rolled, platform.ErrOutcomeUnknown)
+		at, err := s.Roll(t.Context(), "two", "ana")
+		assert.NilError(t, err)
+		assert.Equal(t, at.Version, uint64(2))
+	})
+}
