Test the gateway's side of the scheduling protocol in virtual time

Cause: reservations had no tests of their own. Their timer metric held a goroutine that is not durably blocked, so a test in virtual time never ended (go-metrics' meter; excluded: the manager's own timers). Change: waits are counted in histograms, which have no goroutine; tests cover doubled grants, lost reservations, lost schedulers, wider asking by tier, callers that leave, leaving servers and declarations. Conclusion: services use histograms, not timers.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,12 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// sampleSize and sampleDecay favor the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
 // counters holds the gateway's metrics.
 type counters struct {
 	registry metrics.Registry
@@ -35,7 +41,9 @@
 type classCounters struct {
 	met    metrics.Counter
 	missed metrics.Counter
-	first  metrics.Timer
+	// firstMs is the time from a request's arrival to its first token, in
+	// milliseconds.
+	firstMs metrics.Histogram
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -74,7 +82,8 @@
 		cc = &classCounters{
 			met:    metrics.NewRegisteredCounter(prefix+".target_met", c.registry),
 			missed: metrics.NewRegisteredCounter(prefix+".target_missed", c.registry),
-			first:  metrics.NewRegisteredTimer(prefix+".first_token", c.registry),
+			firstMs: metrics.NewRegisteredHistogram(prefix+".first_token_ms", c.registry,
+				metrics.NewExpDecaySample(sampleSize, sampleDecay)),
 		}
 		c.classes[name] = cc
 	}
@@ -84,7 +93,7 @@
 // observe counts a first token against its target.
 func (c *counters) observe(class string, wait, target time.Duration) {
 	cc := c.class(class)
-	cc.first.Update(wait)
+	cc.firstMs.Update(wait.Milliseconds())
 	if wait <= target {
 		cc.met.Inc(1)
 		return
--- a/reservation/manager.go
+++ b/reservation/manager.go
@@ -24,6 +24,9 @@
 	renewInterval = 2 * time.Second
 	// defaultRetryAfter is told when no scheduler gave an estimate.
 	defaultRetryAfter = time.Second
+	// sampleSize and sampleDecay favor the last five minutes.
+	sampleSize  = 1028
+	sampleDecay = 0.015
 )
 
 // Config configures a Manager.
@@ -57,7 +60,9 @@
 	refused  metrics.Counter
 	widened  metrics.Counter
 	renewed  metrics.Counter
-	wait     metrics.Timer
+	// waitMs is the time from placing to the end of a reservation, in
+	// milliseconds.
+	waitMs metrics.Histogram
 }
 
 // NewManager returns a manager and registers its message handlers.
@@ -75,7 +80,8 @@
 		refused:  metrics.NewRegisteredCounter("reservation.refused", cfg.Metrics),
 		widened:  metrics.NewRegisteredCounter("reservation.widened", cfg.Metrics),
 		renewed:  metrics.NewRegisteredCounter("reservation.renewed", cfg.Metrics),
-		wait:     metrics.NewRegisteredTimer("reservation.wait", cfg.Metrics),
+		waitMs: metrics.NewRegisteredHistogram("reservation.wait_ms", cfg.Metrics,
+			metrics.NewExpDecaySample(sampleSize, sampleDecay)),
 	}
 	m.register()
 	return m
@@ -94,7 +100,7 @@
 func (m *Manager) Acquire(ctx context.Context, spec Spec) (*Slot, error) {
 	r := m.place(spec)
 	start := time.Now()
-	defer m.wait.UpdateSince(start)
+	defer func() { m.waitMs.Update(time.Since(start).Milliseconds()) }()
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	giveUp, stop := giveUpTimer(spec.GiveUp)
--- /dev/null
+++ b/reservation/manager_test.go
@@ -0,0 +1,322 @@
+package reservation
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/peer/peertest"
+	"github.com/jacinththread/jacinththread/scheduler"
+)
+
+// fakeView lists daemons and one server per daemon.
+type fakeView struct {
+	membership.View
+	mu      sync.Mutex
+	daemons []string
+	leaving []string
+	changed chan struct{}
+}
+
+func (v *fakeView) Schedulers() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.daemons
+}
+
+func (v *fakeView) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *fakeView) remove(daemon string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.daemons = slices.DeleteFunc(slices.Clone(v.daemons), func(n string) bool { return n == daemon })
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (v *fakeView) Server(name string) (membership.Server, bool) {
+	return membership.Server{Name: name, Service: "llm", Leaving: slices.Contains(v.leaving, name)}, true
+}
+
+func (v *fakeView) Servers(string) []membership.Server {
+	var out []membership.Server
+	for _, n := range []string{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"} {
+		s, _ := v.Server(n)
+		out = append(out, s)
+	}
+	return out
+}
+
+type noBundle struct{}
+
+func (noBundle) Current() *bundle.Active  { return nil }
+func (noBundle) Changed() <-chan struct{} { return nil }
+
+// fakeScheduler records what it is sent.
+type fakeScheduler struct {
+	bus      peer.Bus
+	reserves []*scheduler.Reserve
+	accepts  []uint64
+	declines []uint64
+	cancels  int
+	done     []*scheduler.Done
+	declared []*scheduler.Declare
+	// answer is sent for each reservation, if set.
+	answer func(r *scheduler.Reserve) peer.Message
+}
+
+func newFakeScheduler(n *peertest.Network, name string) *fakeScheduler {
+	f := &fakeScheduler{bus: n.Bus(name)}
+	f.bus.Handle(peer.KindReserve, func() peer.Message { return new(scheduler.Reserve) }, func(from string, m peer.Message) {
+		r := m.(*scheduler.Reserve)
+		f.reserves = append(f.reserves, r)
+		if f.answer != nil {
+			_ = f.bus.Send(from, f.answer(r))
+		}
+	})
+	f.bus.Handle(peer.KindAccept, func() peer.Message { return new(scheduler.Accept) }, func(_ string, m peer.Message) {
+		f.accepts = append(f.accepts, m.(*scheduler.Accept).GrantID)
+	})
+	f.bus.Handle(peer.KindDecline, func() peer.Message { return new(scheduler.Decline) }, func(_ string, m peer.Message) {
+		f.declines = append(f.declines, m.(*scheduler.Decline).GrantID)
+	})
+	f.bus.Handle(peer.KindCancel, func() peer.Message { return new(scheduler.Cancel) }, func(string, peer.Message) { f.cancels++ })
+	f.bus.Handle(peer.KindDone, func() peer.Message { return new(scheduler.Done) }, func(_ string, m peer.Message) {
+		f.done = append(f.done, m.(*scheduler.Done))
+	})
+	f.bus.Handle(peer.KindDeclare, func() peer.Message { return new(scheduler.Declare) }, func(_ string, m peer.Message) {
+		f.declared = append(f.declared, m.(*scheduler.Declare))
+	})
+	return f
+}
+
+func (f *fakeScheduler) grant(id, grantID uint64, server string) {
+	_ = f.bus.Send("gw", &scheduler.Grant{ID: id, GrantID: grantID, Server: server, ValidMs: 1000})
+}
+
+type fixture struct {
+	view       *fakeView
+	manager    *Manager
+	schedulers map[string]*fakeScheduler
+	network    *peertest.Network
+}
+
+func newFixture(daemons ...string) *fixture {
+	f := &fixture{
+		view:       &fakeView{daemons: daemons, changed: make(chan struct{})},
+		schedulers: map[string]*fakeScheduler{},
+		network:    peertest.NewNetwork(1),
+	}
+	for _, d := range daemons {
+		f.schedulers[d] = newFakeScheduler(f.network, d)
+	}
+	f.manager = NewManager(Config{
+		Bus: f.network.Bus("gw"), View: f.view, Bundles: noBundle{}, Count: 2, Seed: 1, Metrics: metrics.NewRegistry(),
+	})
+	return f
+}
+
+func spec(tier int) Spec {
+	now := time.Now()
+	return Spec{
+		Pool:    &bundle.Pool{Name: "llm", Service: "llm"},
+		Class:   &bundle.Class{Name: "c", Tier: tier},
+		Arrived: now,
+		Target:  now.Add(time.Second),
+	}
+}
+
+// acquired is the result of Acquire on its own goroutine.
+type acquired struct {
+	slot *Slot
+	err  error
+}
+
+func (f *fixture) acquire(ctx context.Context, s Spec) <-chan acquired {
+	out := make(chan acquired, 1)
+	go func() {
+		slot, err := f.manager.Acquire(ctx, s)
+		out <- acquired{slot, err}
+	}()
+	synctest.Wait()
+	return out
+}
+
+func settleMessages() {
+	time.Sleep(10 * time.Millisecond)
+	synctest.Wait()
+}
+
+func TestFirstGrantWinsAndOthersAreReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a", "b")
+		out := f.acquire(t.Context(), spec(0))
+		settleMessages()
+		id := f.schedulers["a"].reserves[0].ID
+		f.schedulers["a"].grant(id, 1, "e1")
+		f.schedulers["b"].grant(id, 9, "e2")
+		f.schedulers["a"].grant(id, 1, "e1")
+		settleMessages()
+		got := <-out
+		assert.NilError(t, got.err)
+		winner, loser := f.schedulers["a"], f.schedulers["b"]
+		if got.slot.Server.Name == "e2" {
+			winner, loser = loser, winner
+		}
+		assert.Assert(t, len(winner.accepts) >= 1)
+		assert.Equal(t, len(winner.declines), 0, "a doubled grant is accepted again")
+		assert.Equal(t, len(loser.accepts), 0)
+		assert.Equal(t, len(loser.declines), 1)
+		got.slot.Done(Report{Outcome: scheduler.OutcomeOK, Tokens: 4})
+		settleMessages()
+		assert.Equal(t, winner.done[0].Tokens, uint32(4))
+		assert.Equal(t, f.manager.InFlight(), 0)
+	})
+}
+
+func TestLostReservationIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a")
+		f.network.Cut("gw", "a")
+		out := f.acquire(t.Context(), spec(0))
+		settleMessages()
+		assert.Equal(t, len(f.schedulers["a"].reserves), 0)
+		f.network.Heal("gw", "a")
+		time.Sleep(refreshInterval)
+		settleMessages()
+		assert.Equal(t, len(f.schedulers["a"].reserves), 1)
+		f.schedulers["a"].grant(f.schedulers["a"].reserves[0].ID, 1, "e1")
+		got := <-out
+		assert.NilError(t, got.err)
+	})
+}
+
+func TestLostSchedulerIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		out := f.acquire(t.Context(), spec(0))
+		settleMessages()
+		var lost, spare string
+		for name, s := range f.schedulers {
+			if len(s.reserves) > 0 {
+				lost = name
+			} else {
+				spare = name
+			}
+		}
+		f.view.remove(lost)
+		time.Sleep(refreshInterval)
+		settleMessages()
+		assert.Equal(t, len(f.schedulers[spare].reserves), 1)
+		f.schedulers[spare].grant(f.schedulers[spare].reserves[0].ID, 1, "e1")
+		assert.NilError(t, (<-out).err)
+	})
+}
+
+func refuseAll(r *scheduler.Reserve) peer.Message {
+	return &scheduler.Infeasible{ID: r.ID, Reason: scheduler.ReasonQueueFull, RetryAfterMs: 700}
+}
+
+func TestHigherTiersAskMoreWidelyBeforeRefusal(t *testing.T) {
+	asked := func(tier int) (n int, err error) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture("a", "b", "c", "d", "e")
+			for _, s := range f.schedulers {
+				s.answer = refuseAll
+			}
+			out := f.acquire(t.Context(), spec(tier))
+			err = (<-out).err
+			for _, s := range f.schedulers {
+				n += len(s.reserves)
+			}
+		})
+		return n, err
+	}
+	lowest, err := asked(bundle.MaxTiers - 1)
+	assert.Equal(t, lowest, 2)
+	var refused *Refusal
+	assert.Assert(t, errorAs(err, &refused))
+	assert.Equal(t, refused.RetryAfter, 700*time.Millisecond)
+	highest, _ := asked(0)
+	assert.Equal(t, highest, 5)
+}
+
+func errorAs(err error, target **Refusal) bool {
+	r, ok := err.(*Refusal)
+	*target = r
+	return ok
+}
+
+func TestCallerThatLeavesCancelsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a", "b")
+		ctx, cancel := context.WithCancel(t.Context())
+		out := f.acquire(ctx, spec(0))
+		settleMessages()
+		cancel()
+		assert.ErrorIs(t, (<-out).err, context.Canceled)
+		settleMessages()
+		assert.Equal(t, f.schedulers["a"].cancels, 1)
+		assert.Equal(t, f.schedulers["b"].cancels, 1)
+	})
+}
+
+func TestRequestIsRefusedAtItsGiveUpTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a", "b")
+		s := spec(0)
+		s.GiveUp = s.Target
+		start := time.Now()
+		out := f.acquire(t.Context(), s)
+		var refused *Refusal
+		assert.Assert(t, errorAs((<-out).err, &refused))
+		assert.Equal(t, refused.Reason, scheduler.ReasonDeadline)
+		assert.Equal(t, time.Since(start), time.Second)
+	})
+}
+
+func TestGrantOfALeavingServerIsDeclined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a")
+		f.view.leaving = []string{"e1"}
+		out := f.acquire(t.Context(), spec(0))
+		settleMessages()
+		id := f.schedulers["a"].reserves[0].ID
+		f.schedulers["a"].grant(id, 1, "e1")
+		settleMessages()
+		assert.DeepEqual(t, f.schedulers["a"].declines, []uint64{1})
+		assert.Equal(t, len(f.schedulers["a"].reserves), 2, "the reservation waits again")
+		f.schedulers["a"].grant(id, 2, "e2")
+		got := <-out
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.slot.Server.Name, "e2")
+	})
+}
+
+func TestRunningRequestsAreDeclared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a")
+		out := f.acquire(t.Context(), spec(0))
+		settleMessages()
+		f.schedulers["a"].grant(f.schedulers["a"].reserves[0].ID, 1, "e1")
+		got := <-out
+		assert.NilError(t, got.err)
+		_ = f.schedulers["a"].bus.Send("gw", &scheduler.DeclareRequest{Seq: 5, Servers: []string{"e1", "e3"}})
+		settleMessages()
+		assert.Equal(t, f.schedulers["a"].declared[0].Seq, uint64(5))
+		assert.Equal(t, f.schedulers["a"].declared[0].Running[0].Server, "e1")
+	})
+}
