Add the tool's commands for callers

Cause: callers and measurements need a way to ask for entries, send one request by hand and load a deployment without changing its pace when answers come late. Change: jacinththreadctl has the commands entries, send, load and completion, tables or JSON, and an exit code for each kind of failure. Package ctl/client steps to the next entry only if nothing was sent, and takes a stream without its terminal marker as cut. Package ctl/load sends Poisson arrivals from a seed in an open loop and counts times from the planned arrival. An empty answer counted as attained at first; a test that failed shows it no longer does.

--- /dev/null
+++ b/ctl/client/client_test.go
@@ -0,0 +1,187 @@
+package client
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testTTLMs = 3_600_000
+
+// deployment is a daemon whose entries name itself and, before it, an address
+// where nothing listens.
+type deployment struct {
+	*httptest.Server
+	asked atomic.Int64
+	// answer serves every path but the entries.
+	answer http.HandlerFunc
+}
+
+func newDeployment(t *testing.T, answer http.HandlerFunc) *deployment {
+	t.Helper()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	d := &deployment{answer: answer}
+	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/entries" {
+			d.answer(w, r)
+			return
+		}
+		d.asked.Add(1)
+		fmt.Fprintf(w, `{"entries":[{"name":"a","addr":%q,"domain":"prai"},{"name":"b","addr":%q,"domain":"prai"}],"ttl_ms":%d}`,
+			strings.TrimPrefix(gone.URL, "http://"), d.addr(), testTTLMs)
+	}))
+	t.Cleanup(d.Close)
+	return d
+}
+
+func (d *deployment) addr() string { return strings.TrimPrefix(d.URL, "http://") }
+
+func (d *deployment) caller() *Caller {
+	hc := NewHTTPClient(time.Second, 1)
+	return NewCaller(hc, NewDirectory(hc, []string{d.URL}, false))
+}
+
+func stream(lines ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(headerRequestID, "r1")
+		for _, l := range lines {
+			fmt.Fprintf(w, "%s\n\n", l)
+		}
+	}
+}
+
+func collect(t *testing.T, c *Caller, q Completion, o Options) (string, Meta, error) {
+	t.Helper()
+	var text strings.Builder
+	meta, err := c.Complete(t.Context(), q, o, func(s string) { text.WriteString(s) })
+	return text.String(), meta, err
+}
+
+func TestCompleteStepsToTheNextAddressAndKeepsEntries(t *testing.T) {
+	d := newDeployment(t, stream(": comment", `data: {"choices":[{"delta":{"content":"a"}}]}`,
+		`data: {"choices":[{"delta":{"content":"b"}}]}`, "data: [DONE]"))
+	c := d.caller()
+	for range 2 {
+		text, meta, err := collect(t, c, Completion{Stream: true}, Options{})
+		assert.NilError(t, err)
+		assert.Equal(t, text, "ab")
+		assert.Equal(t, meta.Addr, d.addr())
+		assert.Equal(t, meta.RequestID, "r1")
+	}
+	assert.Equal(t, d.asked.Load(), int64(1))
+}
+
+func TestCompleteSendsHeaders(t *testing.T) {
+	var got http.Header
+	var body string
+	d := newDeployment(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got, body = r.Header, string(data)
+		fmt.Fprint(w, `{"choices":[{"message":{"role":"assistant","content":"whole"}}]}`)
+	})
+	q := Completion{Model: "m", Messages: []Message{{Role: "user", Content: "hi"}}}
+	text, _, err := collect(t, d.caller(), q, Options{Token: "secret", Class: "counter", DeadlineMs: 900, IdempotencyKey: "k"})
+	assert.NilError(t, err)
+	assert.Equal(t, text, "whole")
+	assert.Equal(t, body, `{"model":"m","messages":[{"role":"user","content":"hi"}],"stream":false}`)
+	assert.Equal(t, got.Get("Authorization"), "Bearer secret")
+	assert.Equal(t, got.Get("Jacinththread-Class"), "counter")
+	assert.Equal(t, got.Get("Jacinththread-Deadline-Ms"), "900")
+	assert.Equal(t, got.Get("Idempotency-Key"), "k")
+}
+
+func TestStreamWithoutMarkerIsCut(t *testing.T) {
+	d := newDeployment(t, stream(`data: {"choices":[{"delta":{"content":"a"}}]}`))
+	text, _, err := collect(t, d.caller(), Completion{Stream: true}, Options{})
+	assert.ErrorIs(t, err, ErrCut)
+	assert.Equal(t, text, "a")
+}
+
+func TestAbortedConnectionIsCut(t *testing.T) {
+	d := newDeployment(t, func(w http.ResponseWriter, r *http.Request) {
+		stream(`data: {"choices":[{"delta":{"content":"a"}}]}`)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	_, _, err := collect(t, d.caller(), Completion{Stream: true}, Options{})
+	assert.ErrorIs(t, err, ErrCut)
+}
+
+func TestErrorInTheMidstOfAStream(t *testing.T) {
+	d := newDeployment(t, stream(`data: {"choices":[{"delta":{"content":"a"}}]}`,
+		`data: {"error":{"code":"cut","message":"server is gone","run":"unknown"}}`))
+	_, _, err := collect(t, d.caller(), Completion{Stream: true}, Options{})
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, refused.Status, 0)
+	assert.Equal(t, refused.Run, "unknown")
+}
+
+func TestRefusalCarriesWhatTheDaemonSaid(t *testing.T) {
+	var calls atomic.Int64
+	d := newDeployment(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set(headerRequestID, "r9")
+		w.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprint(w, `{"error":{"code":"overload","message":"queue is full","run":"not-run","retry_after_ms":1500,
+			"findings":[{"field":"x","message":"bad"}]}}`)
+	})
+	_, _, err := collect(t, d.caller(), Completion{}, Options{})
+	assert.Error(t, err, "overload: queue is full (run: not-run, retry after 1500 ms)\nx: bad")
+	var refused *RefusedError
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, refused.Status, http.StatusTooManyRequests)
+	assert.Equal(t, refused.RequestID, "r9")
+	assert.Equal(t, calls.Load(), int64(1), "a refusal is not tried elsewhere")
+}
+
+func TestRefusalWithoutErrorBody(t *testing.T) {
+	d := newDeployment(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "<html>", http.StatusBadGateway)
+	})
+	_, _, err := d.caller().Plain(t.Context(), "GET", "/services/a/b", nil, Options{})
+	assert.Error(t, err, "http: answer has status 502 Bad Gateway")
+}
+
+func TestUnreachableNamesTheAddresses(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	hc := NewHTTPClient(time.Second, 1)
+	_, err := NewDirectory(hc, []string{gone.URL}, false).Ask(t.Context())
+	var unreachable *UnreachableError
+	assert.Assert(t, errors.As(err, &unreachable))
+	assert.DeepEqual(t, unreachable.Addrs, []string{gone.URL})
+}
+
+func TestDirectorySpreadsRequests(t *testing.T) {
+	d := newDeployment(t, http.NotFound)
+	dir := NewDirectory(http.DefaultClient, []string{d.URL}, true)
+	first, err := dir.Addrs(t.Context())
+	assert.NilError(t, err)
+	second, err := dir.Addrs(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, second, []string{first[1], first[0]})
+	dir.Failed(first[0])
+	left, err := dir.Addrs(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, left, []string{first[1]})
+}
+
+func TestAnswerWithoutEntriesIsAnError(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"entries":[],"ttl_ms":5000}`)
+	}))
+	defer s.Close()
+	_, err := NewDirectory(http.DefaultClient, []string{s.URL}, false).Addrs(t.Context())
+	assert.ErrorContains(t, err, "no entries")
+}
--- /dev/null
+++ b/ctl/exit.go
@@ -0,0 +1,59 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/jacinththread/jacinththread/ctl/client"
+	"github.com/jacinththread/jacinththread/finding"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitFailed means that the outcome is not the wanted one, such as an
+	// answer that was cut.
+	ExitFailed = 1
+	// ExitUsage means a fault of the command line or of a file it names.
+	ExitUsage = 2
+	// ExitRefused means that a daemon answered with an error.
+	ExitRefused = 3
+	// ExitUnreachable means that no daemon could be connected to.
+	ExitUnreachable = 4
+)
+
+// exit prints an error and returns the exit code for it.
+func (a *app) exit(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var help *helpError
+	if errors.As(err, &help) {
+		fmt.Fprintln(a.Out, help.text)
+		return ExitOK
+	}
+	fmt.Fprintf(a.Err, "%s: %s\n", toolName, trace.UserMessage(err))
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var (
+		parse       *flags.Error
+		usage       *usageError
+		findings    *finding.Error
+		refused     *client.RefusedError
+		unreachable *client.UnreachableError
+	)
+	switch {
+	case errors.As(err, &parse), errors.As(err, &usage), errors.As(err, &findings):
+		return ExitUsage
+	case errors.As(err, &refused) && refused.Status != 0:
+		return ExitRefused
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/ctl/load/stats.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jacinththread/jacinththread/ctl/client"
+)
+
+// Histograms hold microseconds up to an hour with three digits.
+const (
+	histogramMax    = int64(time.Hour / time.Microsecond)
+	histogramDigits = 3
+)
+
+// stats collects the samples of a run.
+type stats struct {
+	mu       sync.Mutex
+	workload *Workload
+	// streams has one entry for each stream of the workload.
+	streams []streamStats
+}
+
+type streamStats struct {
+	counts     Counts
+	firstToken *hdrhistogram.Histogram
+	gap        *hdrhistogram.Histogram
+}
+
+func newStats(w *Workload) *stats {
+	s := &stats{workload: w, streams: make([]streamStats, len(w.Streams))}
+	for i := range s.streams {
+		s.streams[i].firstToken = newHistogram()
+		s.streams[i].gap = newHistogram()
+	}
+	return s
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMax, histogramDigits)
+}
+
+func (s *stats) sent(stream int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[stream].counts.Offered++
+	s.streams[stream].counts.open++
+}
+
+func (s *stats) notSent(stream int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[stream].counts.Offered++
+	s.streams[stream].counts.NotSent++
+}
+
+func (s *stats) finished(stream int, m sample, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := &s.streams[stream]
+	st.counts.open--
+	if m.tokens > 0 {
+		record(st.firstToken, m.first.Sub(m.planned))
+		record(st.gap, m.gap())
+	}
+	if err != nil {
+		st.counts.failure(err)
+		st.counts.WastedTokens += m.tokens
+		return
+	}
+	st.counts.Completed++
+	st.counts.Tokens += m.tokens
+	if attained(s.workload.Streams[stream], m) {
+		st.counts.Attained++
+		st.counts.AttainedTokens += m.tokens
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// Values above the maximum are recorded as the maximum.
+	_ = h.RecordValue(min(max(d.Microseconds(), 0), histogramMax))
+}
+
+// attained reports whether a completed request met the targets of its stream.
+func attained(s Stream, m sample) bool {
+	late := m.tokens == 0 || m.first.Sub(m.planned) > time.Duration(s.FirstTokenMs)*time.Millisecond
+	if s.FirstTokenMs > 0 && late {
+		return false
+	}
+	return s.TokenGapMs == 0 || m.gap() <= time.Duration(s.TokenGapMs)*time.Millisecond
+}
+
+// failure counts a request that was not completed.
+func (c *Counts) failure(err error) {
+	var refused *client.RefusedError
+	var unreachable *client.UnreachableError
+	switch {
+	case errors.As(err, &refused) && refused.Status != 0:
+		c.Refused++
+	case errors.As(err, &unreachable):
+		c.Unreachable++
+	default:
+		c.Failed++
+	}
+}
+
+func (s *stats) progress(elapsed time.Duration) Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := Progress{Elapsed: elapsed, Duration: time.Duration(s.workload.DurationMs) * time.Millisecond}
+	for i := range s.streams {
+		c := s.streams[i].counts
+		p.Sent += c.Offered - c.NotSent
+		p.Open += c.open
+		p.Completed += c.Completed
+		p.Refused += c.Refused
+		p.Failed += c.Failed + c.Unreachable
+	}
+	return p
+}
--- /dev/null
+++ b/ctl/print.go
@@ -0,0 +1,66 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+)
+
+// columnGap is the number of spaces between columns of a table.
+const columnGap = 2
+
+// printJSON prints v as indented JSON.
+func (a *app) printJSON(v any) error {
+	e := json.NewEncoder(a.Out)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
+
+// table collects rows and prints them in aligned columns.
+type table struct {
+	rows [][]string
+}
+
+func newTable(header ...string) *table { return &table{rows: [][]string{header}} }
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = cell(c)
+	}
+	t.rows = append(t.rows, row)
+}
+
+func cell(v any) string {
+	switch v := v.(type) {
+	case float64:
+		return fmt.Sprintf("%.2f", v)
+	case string:
+		if v == "" {
+			return "-"
+		}
+		return printable(v)
+	}
+	return fmt.Sprint(v)
+}
+
+// printable replaces control characters, which could confuse a terminal or
+// the columns.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, s)
+}
+
+func (a *app) printTable(t *table) error {
+	w := tabwriter.NewWriter(a.Out, 0, 0, columnGap, ' ', 0)
+	for _, row := range t.rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
