Carry messages between daemons over authenticated TCP links

Cause: the daemons need links that survive silent connections, replaced hosts and key rotation, and that never block a sender.

Change: peer.Node.

--- /dev/null
+++ b/peer/accept.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	// maxHandshakes bounds the accepted connections that have not proved yet
+	// that they come from a peer.
+	maxHandshakes = 64
+	// receiveBuffer is the read buffer of an accepted link, in bytes.
+	receiveBuffer = 4 << 10
+	acceptRetry   = 50 * time.Millisecond
+)
+
+// accept serves connections until the listener closes.
+func (n *Node) accept(l net.Listener) {
+	handshakes := make(chan struct{}, maxHandshakes)
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.cfg.Log.Error("peer connection was not accepted", "err", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		select {
+		case handshakes <- struct{}{}:
+			n.done.Go(func() { n.serveInbound(conn, handshakes) })
+		default:
+			n.metrics.handshakeRefused.Inc(1)
+			conn.Close()
+		}
+	}
+}
+
+// serveInbound authenticates a connection and handles its messages.
+func (n *Node) serveInbound(conn net.Conn, handshakes <-chan struct{}) {
+	defer conn.Close()
+	defer context.AfterFunc(n.ctx, func() { conn.Close() })()
+	r := bufio.NewReaderSize(&deadlineReader{
+		conn:    conn,
+		timeout: n.cfg.KeepAlive + n.cfg.silence(),
+		onRead:  func(read int) { n.metrics.bytesReceived.Inc(int64(read)) },
+	}, receiveBuffer)
+	from, err := n.authenticate(conn, r)
+	<-handshakes
+	if err != nil {
+		n.metrics.handshakeRefused.Inc(1)
+		n.cfg.Log.Warn("peer link was refused", "peer", from, "addr", conn.RemoteAddr(), "err", err)
+		return
+	}
+	if !n.addInbound(from, conn) {
+		return
+	}
+	defer n.removeInbound(from, conn)
+	err = n.receive(from, conn, r)
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		n.cfg.Log.Warn("peer link broke while receiving", "peer", from, "err", err)
+	}
+}
+
+// authenticate runs the handshake within its time limit.
+func (n *Node) authenticate(conn net.Conn, r *bufio.Reader) (string, error) {
+	timer := time.AfterFunc(handshakeTimeout, func() { conn.Close() })
+	defer timer.Stop()
+	return acceptHandshake(conn, r, &n.cfg)
+}
+
+// receive handles messages until the connection fails. The error is never nil.
+func (n *Node) receive(from string, conn net.Conn, r *bufio.Reader) error {
+	reply, err := AppendFrame(nil, &heartbeat{Reply: true})
+	if err != nil {
+		return err
+	}
+	var buf []byte
+	for {
+		frame, err := readFrame(r, buf, maxFrameBytes)
+		if err != nil {
+			return err
+		}
+		if buf = frame; cap(buf) > maxPooledBytes {
+			buf = nil
+		}
+		if len(frame) >= frameHeaderBytes && Kind(frame[1]) == KindHeartbeat {
+			err = n.reply(conn, reply)
+		} else {
+			err = n.dispatch(from, frame)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// reply answers a heartbeat.
+func (n *Node) reply(conn net.Conn, frame []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(n.cfg.silence())); err != nil {
+		return err
+	}
+	written, err := conn.Write(frame)
+	n.metrics.bytesSent.Inc(int64(written))
+	return err
+}
+
+// addInbound records a link and closes an older one of the same peer, which
+// has abandoned it. It reports false when the node is stopping.
+func (n *Node) addInbound(from string, conn net.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	if old := n.inbound[from]; old != nil {
+		old.Close()
+	}
+	n.inbound[from] = conn
+	return true
+}
+
+func (n *Node) removeInbound(from string, conn net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.inbound[from] == conn {
+		delete(n.inbound, from)
+	}
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Limits of the handshake.
+const (
+	handshakeTimeout  = 3 * time.Second
+	maxHandshakeBytes = 512
+	nonceBytes        = 16
+)
+
+// Errors of the handshake.
+var (
+	ErrBadKey    = errors.New("peer does not hold an accepted shared key")
+	ErrWrongPeer = errors.New("address belongs to another peer")
+)
+
+// hello opens a link. It names both ends, so that a link to a replaced host
+// fails.
+type hello struct {
+	From  string
+	To    string
+	Nonce []byte
+}
+
+// Kind implements Message.
+func (*hello) Kind() Kind { return KindHello }
+
+// auth proves that its sender holds a shared key.
+type auth struct {
+	Nonce []byte
+	MAC   []byte
+}
+
+// Kind implements Message.
+func (*auth) Kind() Kind { return KindAuth }
+
+// heartbeat asks for, or is, a sign of life.
+type heartbeat struct {
+	// Reply is set in the answer to a heartbeat.
+	Reply bool
+}
+
+// Kind implements Message.
+func (*heartbeat) Kind() Kind { return KindHeartbeat }
+
+// Roles of the two ends in the authenticated transcript.
+const (
+	dialerRole   = "dialer"
+	acceptorRole = "acceptor"
+)
+
+// transcript is what both ends authenticate.
+type transcript struct {
+	dialer, acceptor           string
+	dialerNonce, acceptorNonce []byte
+}
+
+// mac authenticates the transcript for a role. Every part is preceded by its
+// length, so that no two transcripts have the same encoding.
+func (t *transcript) mac(key []byte, role string) []byte {
+	h := hmac.New(sha256.New, key)
+	for _, part := range [][]byte{[]byte(role), []byte(t.dialer), []byte(t.acceptor), t.dialerNonce, t.acceptorNonce} {
+		var size [4]byte
+		binary.BigEndian.PutUint32(size[:], uint32(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return h.Sum(nil)
+}
+
+// verify reports whether one of the keys made the mac of a role.
+func (t *transcript) verify(keys [][]byte, role string, mac []byte) bool {
+	ok := false
+	for _, k := range keys {
+		if hmac.Equal(t.mac(k, role), mac) {
+			ok = true
+		}
+	}
+	return ok
+}
+
+func newNonce() []byte {
+	n := make([]byte, nonceBytes)
+	rand.Read(n) // Read never fails.
+	return n
+}
+
+// dialHandshake authenticates both ends of a dialled connection. It returns
+// when the acceptor has confirmed the link.
+func dialHandshake(conn net.Conn, r *bufio.Reader, c *Config, to string) error {
+	t := transcript{dialer: c.Self, acceptor: to, dialerNonce: newNonce()}
+	if err := writeMessage(conn, &hello{From: c.Self, To: to, Nonce: t.dialerNonce}); err != nil {
+		return err
+	}
+	var answer auth
+	if err := readHandshake(r, &answer); err != nil {
+		return err
+	}
+	t.acceptorNonce = answer.Nonce
+	if !t.verify(c.Keys, acceptorRole, answer.MAC) {
+		return ErrBadKey
+	}
+	if err := writeMessage(conn, &auth{MAC: t.mac(c.Keys[0], dialerRole)}); err != nil {
+		return err
+	}
+	return readHandshake(r, &heartbeat{})
+}
+
+// acceptHandshake authenticates both ends of an accepted connection and
+// returns the name of the dialer.
+func acceptHandshake(conn net.Conn, r *bufio.Reader, c *Config) (string, error) {
+	var h hello
+	if err := readHandshake(r, &h); err != nil {
+		return "", err
+	}
+	if h.To != c.Self {
+		return h.From, ErrWrongPeer
+	}
+	if len(h.Nonce) != nonceBytes || h.From == "" {
+		return h.From, ErrMalformed
+	}
+	t := transcript{dialer: h.From, acceptor: c.Self, dialerNonce: h.Nonce, acceptorNonce: newNonce()}
+	answer := &auth{Nonce: t.acceptorNonce, MAC: t.mac(c.Keys[0], acceptorRole)}
+	if err := writeMessage(conn, answer); err != nil {
+		return h.From, err
+	}
+	var proof auth
+	if err := readHandshake(r, &proof); err != nil {
+		return h.From, err
+	}
+	if !t.verify(c.Keys, dialerRole, proof.MAC) {
+		return h.From, ErrBadKey
+	}
+	return h.From, writeMessage(conn, &heartbeat{Reply: true})
+}
+
+func writeMessage(conn net.Conn, m Message) error {
+	frame, err := AppendFrame(nil, m)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(frame)
+	return err
+}
+
+// readHandshake reads one small message of the expected kind.
+func readHandshake(r *bufio.Reader, m Message) error {
+	frame, err := readFrame(r, nil, maxHandshakeBytes)
+	if err != nil {
+		return err
+	}
+	kind, payload, err := SplitFrame(frame)
+	if err != nil {
+		return err
+	}
+	if kind != m.Kind() {
+		return fmt.Errorf("handshake message of kind %d, want %d: %w", kind, m.Kind(), ErrMalformed)
+	}
+	return Decode(payload, m)
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,247 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/gravitational/trace"
+)
+
+// Node is a Bus over TCP. Each node sends on connections that it dialled and
+// receives on those that it accepted. It is a kernel service.
+type Node struct {
+	cfg      Config
+	metrics  nodeMetrics
+	handlers Handlers
+	// ctx ends when the node stops.
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	local  *outbox
+
+	mu       sync.RWMutex
+	listener net.Listener
+	links    map[string]*link
+	inbound  map[string]net.Conn
+	down     []func(string)
+	closed   bool
+}
+
+// New returns a node that does not listen yet. It reports all faults of the
+// configuration.
+func New(cfg Config) (*Node, error) {
+	cfg.setDefaults()
+	if err := cfg.check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{
+		cfg:     cfg,
+		metrics: newNodeMetrics(cfg.Metrics),
+		ctx:     ctx,
+		cancel:  cancel,
+		local:   newOutbox(cfg.QueueBytes),
+		links:   map[string]*link{},
+		inbound: map[string]net.Conn{},
+	}, nil
+}
+
+// Start listens for links.
+func (n *Node) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", n.cfg.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.mu.Lock()
+	n.listener = l
+	n.mu.Unlock()
+	n.done.Go(func() { n.accept(l) })
+	n.done.Go(n.deliverLocal)
+	return nil
+}
+
+// Stop sends what is queued on open links, closes all links and waits for
+// running handlers.
+func (n *Node) Stop(ctx context.Context) error {
+	n.mu.Lock()
+	n.closed = true
+	l := n.listener
+	n.mu.Unlock()
+	n.cancel()
+	if l != nil {
+		l.Close()
+	}
+	stopped := make(chan struct{})
+	go func() {
+		n.done.Wait()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "peer links did not stop in time")
+	}
+}
+
+// Addr returns the bound address, or an empty string before Start.
+func (n *Node) Addr() string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.listener == nil {
+		return ""
+	}
+	return n.listener.Addr().String()
+}
+
+// Self implements Bus.
+func (n *Node) Self() string { return n.cfg.Self }
+
+// Handle implements Bus.
+func (n *Node) Handle(kind Kind, factory func() Message, h Handler) {
+	n.handlers.Register(kind, factory, h)
+}
+
+// OnLinkDown implements Bus.
+func (n *Node) OnLinkDown(f func(name string)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down = append(n.down, f)
+}
+
+// linkDown tells the registered callbacks of a failed link.
+func (n *Node) linkDown(name string) {
+	n.mu.RLock()
+	callbacks := n.down
+	n.mu.RUnlock()
+	for _, f := range callbacks {
+		f(name)
+	}
+}
+
+var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
+
+// Send implements Bus.
+func (n *Node) Send(to string, m Message) error {
+	buf := frameBuffers.Get().(*[]byte)
+	defer frameBuffers.Put(buf)
+	frame, err := AppendFrame((*buf)[:0], m)
+	if err != nil {
+		return err
+	}
+	if cap(frame) <= maxPooledBytes {
+		*buf = frame
+	}
+	for {
+		o, err := n.outboxOf(to)
+		if err != nil {
+			return err
+		}
+		// A link that was idle may close between the two steps.
+		err = o.add(frame)
+		if errors.Is(err, ErrQueueFull) {
+			n.metrics.messagesDropped.Inc(1)
+		}
+		if !errors.Is(err, ErrClosed) {
+			return err
+		}
+	}
+}
+
+// outboxOf returns the queue of a peer and opens a link if it has none.
+func (n *Node) outboxOf(to string) (*outbox, error) {
+	n.mu.RLock()
+	l, closed := n.links[to], n.closed
+	n.mu.RUnlock()
+	if closed {
+		return nil, ErrClosed
+	}
+	if to == n.cfg.Self {
+		return n.local, nil
+	}
+	if l != nil {
+		return l.out, nil
+	}
+	if _, ok := n.cfg.Resolve(to); !ok {
+		return nil, ErrUnknownPeer
+	}
+	return n.openLink(to)
+}
+
+func (n *Node) openLink(to string) (*outbox, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, ErrClosed
+	}
+	if l := n.links[to]; l != nil {
+		return l.out, nil
+	}
+	l := newLink(n, to)
+	n.links[to] = l
+	n.done.Go(l.run)
+	return l.out, nil
+}
+
+// removeLink forgets an idle link. It reports false if messages wait.
+func (n *Node) removeLink(l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !l.out.closeIfEmpty() {
+		return false
+	}
+	delete(n.links, l.to)
+	return true
+}
+
+// deliverLocal hands messages to Self to their handlers.
+func (n *Node) deliverLocal() {
+	var buf []byte
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-n.local.ready:
+		}
+		buf, _ = n.local.take(buf)
+		n.dispatchAll(buf)
+	}
+}
+
+// dispatchAll hands a sequence of local frames to their handlers.
+func (n *Node) dispatchAll(rest []byte) {
+	for len(rest) > 0 {
+		frame, next, err := NextFrame(rest)
+		if err != nil || frame == nil {
+			n.metrics.framesMalformed.Inc(1)
+			return
+		}
+		rest = next
+		if err := n.dispatch(n.cfg.Self, frame); err != nil {
+			n.cfg.Log.Error("local message is malformed", "err", err)
+		}
+	}
+}
+
+// dispatch decodes a frame and calls its handler. An error means that the
+// sender cannot be understood.
+func (n *Node) dispatch(from string, frame []byte) error {
+	kind, payload, err := SplitFrame(frame)
+	if err != nil {
+		n.metrics.framesMalformed.Inc(1)
+		return err
+	}
+	n.metrics.messagesReceived.Inc(1)
+	known, err := n.handlers.Dispatch(from, kind, payload)
+	if err != nil {
+		n.metrics.framesMalformed.Inc(1)
+		return err
+	}
+	if !known {
+		n.metrics.kindsUnknown.Inc(1)
+	}
+	return nil
+}
