--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -234,22 +234,15 @@
 func BenchmarkLinkThroughput(b *testing.B) {
 	d := &directory{}
 	r := metrics.NewRegistry()
-	got := make(chan struct{}, 1024)
+	inFlight := make(chan struct{}, 1024)
 	sink, err := peer.New(peer.Config{Self: "b", Listen: "127.0.0.1:0", Keys: [][]byte{newKey}, Resolve: d.resolve, Metrics: r})
 	assert.NilError(b, err)
-	sink.Handle(peer.KindReserve, func() peer.Message { return new(scheduler.Reserve) }, func(string, peer.Message) { got <- struct{}{} })
+	sink.Handle(peer.KindReserve, func() peer.Message { return new(scheduler.Reserve) }, func(string, peer.Message) { <-inFlight })
 	assert.NilError(b, sink.Start(b.Context()))
 	defer stopNode(b, sink)
 	d.Store("b", sink.Addr())
 	a := startNode(b, d, "a")
 	m := sampleReserve()
-	inFlight := make(chan struct{}, 1024)
-	go func() {
-		for range got {
-			<-inFlight
-		}
-	}()
-	defer close(got)
 	b.ReportAllocs()
 	for b.Loop() {
 		inFlight <- struct{}{}
