Keep the membership of daemons and backend servers by gossip

Cause: the scheduler, the gateway and the entry directory need to know which daemons are live and which backend servers may get work, without a coordination service and without polls that grow with the fleet.

Change: membership.Service. One direct probe a second, three indirect ones before suspicion, a suspicion time that grows with the logarithm of the fleet, incarnations from the wall clock, refutation, updates along with probes within a bounded size, urgent ones at once to four others, and an exchange of the whole state by bucket hashes every ten seconds. A reported death counts as a suspicion first, so that a daemon that was cut off does not take others down on its return. Two daemons per region, moved every ten seconds by rendezvous hashing, read the host list once a second.

Adds message kind 36 for the exchange of state.

--- /dev/null
+++ b/membership/servers.go
@@ -0,0 +1,117 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/jacinththread/jacinththread/platform"
+)
+
+// leavingHold is how long a server counts as leaving or gone although the
+// lagging host list shows it as live at the same address.
+const leavingHold = 30 * time.Second
+
+// mergeServer takes over a record of a backend server if it is newer.
+func (s *Service) mergeServer(r serverRecord) {
+	old, known := s.servers[r.Name]
+	if known && r.Version <= old.Version {
+		return
+	}
+	if known && sameServer(*old, r) {
+		old.Version = r.Version
+		return
+	}
+	if !known && r.State == serverGone {
+		return
+	}
+	s.putServer(r)
+}
+
+// putServer stores a changed record and spreads it at once.
+func (s *Service) putServer(r serverRecord) {
+	s.servers[r.Name] = &r
+	s.serversChanged = true
+	s.spreadNow(serverKey(r.Name))
+}
+
+// nextVersion returns a version above that of a record.
+func (s *Service) nextVersion(old uint64) uint64 {
+	return max(old+1, uint64(s.now().UnixMilli()))
+}
+
+// ReportLeaving implements View.
+func (s *Service) ReportLeaving(server string) {
+	s.update(func() {
+		r, ok := s.servers[server]
+		if !ok || r.State != serverLive {
+			return
+		}
+		s.cfg.Log.Info("backend server says it is leaving", "server", server)
+		next := *r
+		next.State = serverLeaving
+		next.Version = s.nextVersion(r.Version)
+		s.putServer(next)
+	})
+}
+
+// mergeHosts takes over a host list that was just read.
+func (s *Service) mergeHosts(hosts []platform.Host) {
+	listed := make(map[string]bool, len(hosts))
+	daemons := make(map[string]string)
+	for _, h := range hosts {
+		if h.Service == s.cfg.DaemonService {
+			daemons[h.Name] = h.Addr
+			continue
+		}
+		listed[h.Name] = true
+		s.mergeHost(h)
+	}
+	s.listedDaemons = daemons
+	s.listedSnap.Store(&daemons)
+	for name, r := range s.servers {
+		if !listed[name] && r.State != serverGone {
+			gone := *r
+			gone.State = serverGone
+			gone.Version = s.nextVersion(r.Version)
+			s.putServer(gone)
+			s.cfg.Log.Info("backend server is gone", "server", name)
+		}
+	}
+}
+
+// mergeHost takes over one backend server of the host list.
+func (s *Service) mergeHost(h platform.Host) {
+	r := serverRecord{
+		Name: h.Name, Addr: h.Addr, Service: h.Service, Region: h.Region, Domain: h.Domain, State: serverLive,
+	}
+	if h.State == platform.HostLeaving {
+		r.State = serverLeaving
+	}
+	old, known := s.servers[h.Name]
+	if known && (sameServer(*old, r) || s.held(old, &r)) {
+		return
+	}
+	if known {
+		r.Version = old.Version
+	}
+	r.Version = s.nextVersion(r.Version)
+	s.cfg.Log.Info("backend server changed", "server", r.Name, "addr", r.Addr, "leaving", r.State == serverLeaving)
+	s.putServer(r)
+}
+
+// held reports whether a listed state is older than what is known: the server
+// was seen leaving or gone a short while ago.
+func (s *Service) held(old, listed *serverRecord) bool {
+	if old.State <= listed.State || old.Addr != listed.Addr {
+		return false
+	}
+	return s.now().Sub(time.UnixMilli(int64(old.Version))) < leavingHold
+}
+
+// forgetServers drops servers that have been gone for a while.
+func (s *Service) forgetServers() {
+	for name, r := range s.servers {
+		if r.State == serverGone && s.now().Sub(time.UnixMilli(int64(r.Version))) >= s.cfg.ForgetAfter {
+			delete(s.servers, name)
+		}
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -31,6 +31,7 @@
 	KindPingRequest Kind = 33
 	KindAck         Kind = 34
 	KindGossip      Kind = 35
+	KindSync        Kind = 36
 
 	KindBundleDigest  Kind = 48
 	KindBundleRequest Kind = 49
