Record runs and check them against what must always hold

Cause: the proofs of several packages need one form of history, one set of checkers and one line of output. The random histories of claims become TestProofAtMostOnce and print a proof line.

--- a/claims/fuzz_test.go
+++ b/claims/fuzz_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/jacinththread/jacinththread/claims"
+	"github.com/jacinththread/jacinththread/internal/proof"
 	"github.com/jacinththread/jacinththread/platform/platformtest"
 )
 
@@ -394,17 +395,30 @@
 	return nil
 }
 
-// TestFuzzAtMostOnce runs random scripts of concurrent daemons against the
+// TestProofAtMostOnce runs random scripts of concurrent daemons against the
 // oracle.
-func TestFuzzAtMostOnce(t *testing.T) {
-	assert.NilError(t, flag.Set("rapid.seed", "1"))
+func TestProofAtMostOnce(t *testing.T) {
 	assert.NilError(t, flag.Set("rapid.nofailfile", "true"))
-	rapid.Check(t, func(rt *rapid.T) {
-		script := drawScript.Draw(rt, "script")
-		var out settled
-		synctest.Test(t, func(t *testing.T) { out = runScript(t, script) })
-		if err := out.check(); err != nil {
-			rt.Fatal(err)
+	seeds := proof.Seeds(t, 1, 4)
+	histories, events, violations := 0, 0, 0
+	for _, seed := range seeds {
+		assert.NilError(t, flag.Set("rapid.seed", strconv.FormatUint(seed, 10)))
+		ok := t.Run(fmt.Sprint("seed ", seed), rapid.MakeCheck(func(rt *rapid.T) {
+			out := runInBubble(t, drawScript.Draw(rt, "script"))
+			histories++
+			events += len(out.hist.ops)
+			if err := out.check(); err != nil {
+				rt.Fatal(err)
+			}
+		}))
+		if !ok {
+			violations++
 		}
-	})
+	}
+	proof.Line(proof.AtMostOnce, histories, events, violations, seeds)
+}
+
+func runInBubble(t *testing.T, s fuzzScript) (out settled) {
+	synctest.Test(t, func(t *testing.T) { out = runScript(t, s) })
+	return out
 }
