--- /dev/null
+++ b/claims/bench_test.go
@@ -0,0 +1,44 @@
+package claims_test
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/claims"
+	"github.com/jacinththread/jacinththread/platform/platformtest"
+)
+
+// BenchmarkCall measures a call that runs once, without the store's latency,
+// and reports the calls on the store.
+func BenchmarkCall(b *testing.B) {
+	store := platformtest.New()
+	s := claims.New(claims.Config{Store: store, Owner: "d1"})
+	n := 0
+	for b.Loop() {
+		n++
+		key := claims.Key{Customer: "c", Service: "s", Token: strconv.Itoa(n)}
+		a, err := s.Begin(b.Context(), key, digestA)
+		assert.NilError(b, err)
+		assert.NilError(b, s.Finish(b.Context(), a, okay))
+	}
+	b.ReportMetric(float64(store.TotalCalls())/float64(n), "store-calls/op")
+}
+
+// BenchmarkRepeat measures a repeat that gets the recorded answer.
+func BenchmarkRepeat(b *testing.B) {
+	store := platformtest.New()
+	s := claims.New(claims.Config{Store: store, Owner: "d1"})
+	a, err := s.Begin(b.Context(), testKey, digestA)
+	assert.NilError(b, err)
+	assert.NilError(b, s.Finish(b.Context(), a, okay))
+	store.ResetCalls()
+	n := 0
+	for b.Loop() {
+		n++
+		_, err := s.Begin(b.Context(), testKey, digestA)
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(store.TotalCalls())/float64(n), "store-calls/op")
+}
