--- a/internal/proof/event.go
+++ b/internal/proof/event.go
@@ -25,6 +25,8 @@
 	Answered Kind = "answered"
 	// Cut: the connection of a try ended before its answer was complete.
 	Cut Kind = "cut"
+	// Left: the caller of a try gave up waiting for its answer.
+	Left Kind = "left"
 	// Unreached: no connection was made for a try.
 	Unreached Kind = "unreached"
 	// Ran: a backend server recorded that it ran a request.
