Start no expired attempt and trust no busy answer of a plain service

Cause: (1) a daemon paused for longer than claims are kept could dispatch an attempt whose claim had been removed, and another attempt could run as well; the gateway did not look at Attempt.DispatchBy. (2) a repeatable call that a plain service answered with 503 was told not-run, although the service may answer 503 after the call had an effect. Excluded: calls that may not be repeated, which already take such a 503 for an answer. Change: the check right before a dispatch covers DispatchBy; after a busy answer of a plain service the run state is unknown.

--- a/gateway/once.go
+++ b/gateway/once.go
@@ -159,7 +159,8 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if !o.spec.GiveUp.IsZero() && time.Now().After(o.spec.GiveUp) {
+	now := time.Now()
+	if now.After(o.attempt.DispatchBy) || !o.spec.GiveUp.IsZero() && now.After(o.spec.GiveUp) {
 		return errTooLate
 	}
 	if srv, ok := o.gateway.cfg.View.Server(slot.Server.Name); !ok || srv.Leaving {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -111,7 +111,8 @@
 			return ctx.Err()
 		}
 		notRun := dispatch.NotRun(err)
-		if notRun {
+		// A busy plain service may have answered after the call had an effect.
+		if notRun && !errors.Is(err, dispatch.ErrBusy) {
 			req.run = before
 		}
 		if n >= maxDispatches || !notRun && !g.budgets.spend(req.class) {
