--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS := ./...
 TEST_TIMEOUT := 7m
 
-.PHONY: all build test format-check vet lint unit clean
+.PHONY: all build test format-check vet lint unit proofs clean
 
 all: build
 
@@ -24,5 +24,10 @@
 unit:
 	$(GO) test -race -timeout $(TEST_TIMEOUT) $(PKGS)
 
+# Prints a line for each point of what must always hold. PROOF_SEED=N or N..M
+# sets other seeds.
+proofs:
+	@GO="$(GO)" ./.ci/proofs
+
 clean:
 	rm -rf bin
