Put the services of a daemon together

Cause: the thin path needs a process. Change: jacinththreadd builds its services on the kernel, serves callers and the operators' health and metrics, and stops by leaving the entry directory, waiting as long as callers may keep an address, and waiting for every request in flight; a second signal or the configured bound cuts it short and says how many requests it cuts.

--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"github.com/jacinththread/jacinththread/gateway"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/membership"
+)
+
+const (
+	idleTimeout = 2 * time.Minute
+	// operatorStopTimeout bounds the wait for operators' calls at a stop.
+	operatorStopTimeout = 2 * time.Second
+)
+
+// callers serves the callers' interface and conducts the planned stop.
+type callers struct {
+	server *http.Server
+	addr   string
+	view   *membership.Service
+	gw     *gateway.Gateway
+	// ttl is how long callers may keep an address.
+	ttl time.Duration
+	log *log.Logger
+}
+
+func (p *parts) newCallers(r kernel.Registry) (kernel.Service, error) {
+	m, err := kernel.Get[*membership.Service](r, membershipName)
+	if err != nil {
+		return nil, err
+	}
+	g, err := kernel.Get[gatewayService](r, gatewayName)
+	if err != nil {
+		return nil, err
+	}
+	limits := p.settings.Callers
+	return &callers{
+		server: &http.Server{
+			Handler:           g.Handler(),
+			ReadHeaderTimeout: time.Duration(limits.ReadTimeoutMs) * time.Millisecond,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    limits.MaxHeaderBytes,
+			ErrorLog:          p.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		},
+		addr: p.settings.Listen.Callers,
+		view: m,
+		gw:   g.Gateway,
+		ttl:  time.Duration(limits.EntryTTLMs) * time.Millisecond,
+		log:  p.log,
+	}, nil
+}
+
+// Start implements kernel.Service.
+func (c *callers) Start(context.Context) error { return serve(c.server, c.addr, c.log) }
+
+// serve listens on an address and serves it in the background.
+func serve(server *http.Server, addr string, logger *log.Logger) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return trace.Wrap(err, "listening on %s", addr)
+	}
+	go func() {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("listener failed", "addr", addr, "err", err)
+		}
+	}()
+	return nil
+}
+
+// Stop leaves the entry directory and hands the scheduling over, goes on
+// accepting for as long as callers may keep the address, and then waits for
+// every request in flight. The end of ctx cuts it short.
+func (c *callers) Stop(ctx context.Context) error {
+	c.view.Leave()
+	c.gw.Drain()
+	select {
+	case <-time.After(c.ttl):
+	case <-ctx.Done():
+	}
+	err := c.server.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	c.log.Warn("planned stop was cut short", "requests_cut", c.gw.Held(), "err", err)
+	return c.server.Close()
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/telemetry"
+)
+
+// operators serves the operators' interface, health, metrics and profiles.
+type operators struct {
+	server *http.Server
+	addr   string
+	log    *log.Logger
+}
+
+func (p *parts) newOperators(r kernel.Registry) (kernel.Service, error) {
+	bundles, err := kernel.Get[*bundle.Activator](r, bundleName)
+	if err != nil {
+		return nil, err
+	}
+	router := mux.NewRouter()
+	telemetry.Routes(router, p.metrics, func() error { return ready(bundles) })
+	return &operators{
+		server: &http.Server{
+			Handler:           router,
+			ReadHeaderTimeout: time.Duration(p.settings.Callers.ReadTimeoutMs) * time.Millisecond,
+			IdleTimeout:       idleTimeout,
+		},
+		addr: p.settings.Listen.Operators,
+		log:  p.log,
+	}, nil
+}
+
+func ready(bundles *bundle.Activator) error {
+	if !bundles.Ready() {
+		return errors.New("no bundle version is in force yet")
+	}
+	return nil
+}
+
+// Start implements kernel.Service.
+func (o *operators) Start(context.Context) error { return serve(o.server, o.addr, o.log) }
+
+// Stop implements kernel.Service.
+func (o *operators) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorStopTimeout)
+	defer cancel()
+	if err := o.server.Shutdown(ctx); err != nil {
+		return o.server.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/report.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/gateway"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/membership"
+)
+
+// reportInterval is how often the load that peers see is renewed.
+const reportInterval = 500 * time.Millisecond
+
+// report tells the membership what others should know of this daemon.
+type report struct {
+	view    *membership.Service
+	bundles *bundle.Activator
+	gateway *gateway.Gateway
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func (p *parts) newReport(r kernel.Registry) (kernel.Service, error) {
+	m, err := kernel.Get[*membership.Service](r, membershipName)
+	if err != nil {
+		return nil, err
+	}
+	bundles, err := kernel.Get[*bundle.Activator](r, bundleName)
+	if err != nil {
+		return nil, err
+	}
+	g, err := kernel.Get[gatewayService](r, gatewayName)
+	if err != nil {
+		return nil, err
+	}
+	return &report{view: m, bundles: bundles, gateway: g.Gateway}, nil
+}
+
+// Start implements kernel.Service.
+func (r *report) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.done.Go(func() { r.run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (r *report) Stop(context.Context) error {
+	r.cancel()
+	r.done.Wait()
+	return nil
+}
+
+func (r *report) run(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		r.view.SetLoad(uint32(r.gateway.Held()))
+		if active := r.bundles.Current(); active != nil {
+			r.view.SetBundleVersion(active.Version)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
