--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+demo: build
+	examples/demo/run.sh
+
 test: format-check vet lint unit
 
 format-check:
