Measure what a daemon adds to a call and what a stream costs

Change: make bench runs three daemons; the gateway under test schedules neither engine, so each request is reserved and granted on another daemon.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 demo: build
 	examples/demo/run.sh
 
+bench: build
+	$(GO) run ./test/bench
+
 test: format-check vet lint unit
 
 format-check:
--- /dev/null
+++ b/test/bench/load.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	chatPath      = "/v1/chat/completions"
+	token         = "bench-token"
+	maxLatency    = time.Minute
+	significant   = 3
+	maxIdle       = 2000
+	terminalEvent = "data: [DONE]"
+)
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle}}
+
+var errIncomplete = errors.New("answer has no terminal marker")
+
+// post sends a streamed request and reads its whole answer.
+func post(ctx context.Context, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+chatPath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("status %d: %s", resp.StatusCode, text)
+	case !bytes.Contains(text, []byte(terminalEvent)):
+		return errIncomplete
+	}
+	return nil
+}
+
+// latencies collects the times of answers.
+type latencies struct {
+	mu      sync.Mutex
+	hist    *hdrhistogram.Histogram
+	failed  int
+	lastErr error
+}
+
+func (l *latencies) record(d time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.failed++
+		l.lastErr = err
+		return
+	}
+	// Values out of range are cut at the bound.
+	_ = l.hist.RecordValue(min(d, maxLatency).Microseconds())
+}
+
+func (l *latencies) quantile(q float64) time.Duration {
+	return time.Duration(l.hist.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func (l *latencies) count() int64 { return l.hist.TotalCount() }
+
+// openLoop sends requests at a fixed rate, whether earlier ones have ended or
+// not. Times count from the planned arrival.
+func openLoop(ctx context.Context, url string, body []byte, rate int, length time.Duration) (*latencies, error) {
+	l := &latencies{hist: hdrhistogram.New(1, maxLatency.Microseconds(), significant)}
+	interval := time.Second / time.Duration(rate)
+	start := time.Now()
+	var open sync.WaitGroup
+	for at := time.Duration(0); at < length; at += interval {
+		time.Sleep(time.Until(start.Add(at)))
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		sent := time.Now()
+		open.Go(func() {
+			err := post(ctx, url, body)
+			l.record(time.Since(sent), err)
+		})
+	}
+	open.Wait()
+	return l, nil
+}
+
+// streams counts streams that are held open.
+type streams struct {
+	open     sync.WaitGroup
+	complete atomic.Int64
+	failed   atomic.Int64
+}
+
+func (s *streams) wait() { s.open.Wait() }
+
+// holdStreams opens n streams and reads them in the background.
+func holdStreams(ctx context.Context, url string, body []byte, n int) *streams {
+	s := &streams{}
+	for range n {
+		s.open.Go(func() {
+			if err := post(ctx, url, body); err != nil {
+				s.failed.Add(1)
+				return
+			}
+			s.complete.Add(1)
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,98 @@
+// Command bench measures what one daemon adds to a call, and what a held
+// stream costs, on loopback. It starts the project's own binaries from bin/.
+//
+// The gateway under test schedules none of the servers, so each request has a
+// reservation and a grant on another daemon.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+)
+
+const (
+	warmUp        = 2 * time.Second
+	latencyRate   = 200
+	latencyLength = 15 * time.Second
+	streamCount   = 1000
+	streamTokens  = 150
+	streamGapMs   = 100
+
+	targetP50 = time.Millisecond
+	targetP99 = 5 * time.Millisecond
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	d, err := startDeployment(ctx)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	if err := measureLatency(ctx, d); err != nil {
+		return err
+	}
+	return measureStreams(ctx, d)
+}
+
+// measureLatency sends the same open-loop load to the engine and through the
+// gateway, in turns, and compares.
+func measureLatency(ctx context.Context, d *deployment) error {
+	body := []byte(`{"model":"m","max_tokens":1,"stream":true,"messages":[{"role":"user","content":"hi"}]}`)
+	for _, url := range []string{d.engineURL, d.gatewayURL} {
+		if _, err := openLoop(ctx, url, body, latencyRate, warmUp); err != nil {
+			return err
+		}
+	}
+	direct, err := openLoop(ctx, d.engineURL, body, latencyRate, latencyLength)
+	if err != nil {
+		return err
+	}
+	routed, err := openLoop(ctx, d.gatewayURL, body, latencyRate, latencyLength)
+	if err != nil {
+		return err
+	}
+	p50 := routed.quantile(50) - direct.quantile(50)
+	p99 := routed.quantile(99) - direct.quantile(99)
+	fmt.Printf("bench: latency rate=%d requests=%d failed=%d direct_p50=%v direct_p99=%v routed_p50=%v routed_p99=%v\n",
+		latencyRate, routed.count(), routed.failed, direct.quantile(50), direct.quantile(99), routed.quantile(50), routed.quantile(99))
+	fmt.Printf("bench: added p50=%v target=%v met=%v\n", p50, targetP50, p50 < targetP50)
+	fmt.Printf("bench: added p99=%v target=%v met=%v\n", p99, targetP99, p99 < targetP99)
+	if routed.failed > 0 {
+		return fmt.Errorf("%d routed requests failed: %w", routed.failed, routed.lastErr)
+	}
+	return nil
+}
+
+// measureStreams opens many streams at once and reads the gateway's memory
+// while it holds them.
+func measureStreams(ctx context.Context, d *deployment) error {
+	before, err := d.gatewayMemory()
+	if err != nil {
+		return err
+	}
+	body := fmt.Appendf(nil, `{"model":"slow","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"hi"}]}`, streamTokens)
+	held := holdStreams(ctx, d.gatewayURL, body, streamCount)
+	time.Sleep(streamTokens * streamGapMs * time.Millisecond / 2)
+	during, err := d.gatewayMemory()
+	if err != nil {
+		return err
+	}
+	held.wait()
+	fmt.Printf("bench: streams=%d complete=%d failed=%d rss_before_kb=%d rss_during_kb=%d per_stream_kb=%.1f\n",
+		streamCount, held.complete.Load(), held.failed.Load(), before, during, float64(during-before)/streamCount)
+	if held.failed.Load() > 0 {
+		return fmt.Errorf("%d of %d streams failed", held.failed.Load(), streamCount)
+	}
+	return nil
+}
