Add the tool's commands for operators

Cause: operators drive the system only by bundle versions and need to see the daemons, backend servers and queues.

--- /dev/null
+++ b/ctl/bundle_show.go
@@ -0,0 +1,117 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/ctl/client"
+)
+
+type statusCommand struct{ runnable }
+
+func (*statusCommand) run(ctx context.Context, a *app) error {
+	return ask(ctx, a, contextFirst((*client.Operator).Status), func(s bundleStatus) error {
+		if err := a.printFields("Version in force", s.Current.Version, "Change", s.Current.ChangeID,
+			"Rolled by", s.Current.RolledBy, "Digest", s.Current.Digest); err != nil {
+			return err
+		}
+		fmt.Fprintln(a.Out)
+		t := newTable("DAEMON", "VERSION", "STATE")
+		for _, d := range s.Daemons {
+			state := "current"
+			if d.Version != s.Current.Version {
+				state = "behind"
+			}
+			t.add(d.Name, d.Version, state)
+		}
+		return a.printTable(t)
+	})
+}
+
+// contextFirst adapts a method of Operator to ask.
+func contextFirst(call func(*client.Operator, context.Context) (client.Document, error)) func(context.Context, *client.Operator) (client.Document, error) {
+	return func(ctx context.Context, o *client.Operator) (client.Document, error) { return call(o, ctx) }
+}
+
+type historyCommand struct{ runnable }
+
+func (*historyCommand) run(ctx context.Context, a *app) error {
+	return ask(ctx, a, contextFirst((*client.Operator).History), func(h bundleHistory) error {
+		t := newTable("VERSION", "BASE", "CHANGE", "PROPOSED BY", "APPROVED BY", "ROLLED BY", "ROLLED AT", "NOTE")
+		for _, r := range h.Versions {
+			t.add(r.Version, r.Base, r.ChangeID, r.ProposedBy, r.ApprovedBy, r.RolledBy, timeCell(r.RolledAt), r.Note)
+		}
+		return a.printTable(t)
+	})
+}
+
+type diffCommand struct {
+	runnable
+	Args struct {
+		From string `positional-arg-name:"FROM" required:"yes" description:"Version number or change id"`
+		To   string `positional-arg-name:"TO" description:"Version number or change id; the version in force without it"`
+	} `positional-args:"yes"`
+}
+
+// diffResult is what diff prints with --json.
+type diffResult struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+	Diff string `json:"diff"`
+}
+
+func (c *diffCommand) run(ctx context.Context, a *app) error {
+	o, err := a.operator()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := a.bounded(ctx)
+	defer cancel()
+	if c.Args.To == "" {
+		version, err := versionInForce(ctx, o)
+		if err != nil {
+			return err
+		}
+		c.Args.To = strconv.FormatUint(version, 10)
+	}
+	from, err := contentOf(ctx, o, c.Args.From)
+	if err != nil {
+		return err
+	}
+	to, err := contentOf(ctx, o, c.Args.To)
+	if err != nil {
+		return err
+	}
+	result := diffResult{From: c.Args.From, To: c.Args.To, Diff: bundle.Diff(from, to)}
+	if a.JSON {
+		return a.printJSON(result)
+	}
+	if result.Diff == "" {
+		fmt.Fprintln(a.Out, "no difference")
+		return nil
+	}
+	fmt.Fprintf(a.Out, "--- %s\n+++ %s\n%s", result.From, result.To, result.Diff)
+	return nil
+}
+
+// contentOf returns the content of a version, given by its number, or of a
+// proposal, given by its change id.
+func contentOf(ctx context.Context, o *client.Operator, name string) (string, error) {
+	version, err := strconv.ParseUint(name, 10, 64)
+	if err == nil {
+		doc, err := o.Version(ctx, version)
+		if err != nil {
+			return "", err
+		}
+		record, err := decode[bundle.Record](doc)
+		return record.Content, err
+	}
+	doc, err := o.Review(ctx, name)
+	if err != nil {
+		return "", err
+	}
+	review, err := decode[bundleReview](doc)
+	return review.Proposal.Content, err
+}
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -14,8 +14,12 @@
 	subs              []spec
 }
 
+// group holds the subcommands of a command that does nothing itself.
+type group struct{}
+
 func commands() []spec {
-	return []spec{entriesSpec(), sendSpec(), loadSpec(), completionSpec()}
+	specs := []spec{bundleSpec(), entriesSpec(), sendSpec(), loadSpec(), completionSpec()}
+	return append(specs, listSpecs()...)
 }
 
 func entriesSpec() spec {
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -64,3 +64,12 @@
 	}
 	return w.Flush()
 }
+
+// printFields prints a table of names and values.
+func (a *app) printFields(pairs ...any) error {
+	w := tabwriter.NewWriter(a.Out, 0, 0, columnGap, ' ', 0)
+	for i := 0; i < len(pairs); i += 2 {
+		fmt.Fprintf(w, "%v:\t%s\n", pairs[i], cell(pairs[i+1]))
+	}
+	return w.Flush()
+}
