Count only answers as a sign of life, and end the travel of old updates

Cause 1: a daemon that sends and receives nothing stayed a member: its own probes cleared the suspicion of it. Lost refutations were excluded, since the daemon never heard of the suspicion. Seen as an intermittent failure of TestDaemonCutFromAllIsDead; TestDaemonThatOnlySendsIsDead failed every time before the change.

Cause 2: after a mass start each update travelled along with probes until it was sent often enough, minutes after all knew it.

Change: only acks count as a sign of life; updates end after 20 probe intervals, and the exchange of the whole state makes up for the rest.

--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -74,6 +74,16 @@
 	})
 }
 
+// TestDaemonThatOnlySendsIsDead checks that messages from a daemon that gets
+// none itself do not count as a sign of life.
+func TestDaemonThatOnlySendsIsDead(t *testing.T) {
+	inCluster(t, 2, 0, func(c *cluster) {
+		c.net.Cut("entry-000", "entry-001")
+		c.settle(detectionLimit)
+		assert.Equal(t, c.stateOf("entry-000", "entry-001"), DaemonState(0))
+	})
+}
+
 func TestReplacedDaemonSupersedes(t *testing.T) {
 	inCluster(t, 7, 0, func(c *cluster) {
 		old := c.services["entry-005"].Self().Incarnation
--- a/membership/member.go
+++ b/membership/member.go
@@ -25,7 +25,7 @@
 	since time.Time
 	// deadline is when a suspect is declared dead.
 	deadline time.Time
-	// heard is when the daemon itself last sent a message.
+	// heard is when the daemon last answered.
 	heard time.Time
 }
 
@@ -177,8 +177,8 @@
 	s.touchDaemons()
 }
 
-// checkSuspects declares suspects dead whose time is over, unless they were
-// heard from directly, and forgets the dead after a while.
+// checkSuspects declares suspects dead whose time is over, unless they
+// answered since, and forgets the dead after a while.
 func (s *Service) checkSuspects() {
 	now := s.now()
 	for name, m := range s.members {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -105,7 +105,8 @@
 	s.send(name, &gossip{Updates: updates{Daemons: []record{m.observed()}}})
 }
 
-// heard notes a sign of life.
+// heard notes that a daemon answered. Messages that answer nothing do not count:
+// their sender may be unable to receive.
 func (s *Service) heard(from string) {
 	if m := s.members[from]; m != nil {
 		m.heard = s.now()
@@ -118,7 +119,6 @@
 		if m.Self.Name == from {
 			s.mergeDaemon(m.Self)
 		}
-		s.heard(from)
 		s.mergeUpdates(&m.Updates)
 		s.send(from, &ack{Seq: m.Seq, Updates: s.piggyback(from)})
 	})
@@ -127,7 +127,6 @@
 func (s *Service) onPingRequest(from string, msg peer.Message) {
 	m := msg.(*pingRequest)
 	s.update(func() {
-		s.heard(from)
 		s.mergeUpdates(&m.Updates)
 		seq := s.nextSeq()
 		s.relays[seq] = relay{origin: from, seq: m.Seq, sent: s.now()}
@@ -154,7 +153,6 @@
 func (s *Service) onGossip(from string, msg peer.Message) {
 	m := msg.(*gossip)
 	s.update(func() {
-		s.heard(from)
 		s.mergeUpdates(&m.Updates)
 	})
 }
--- a/membership/rumours.go
+++ b/membership/rumours.go
@@ -10,6 +10,9 @@
 	// resendMult bounds how often an update travels, together with the
 	// logarithm of the number of daemons.
 	resendMult = 3
+	// rumourProbes is how long an update travels at most, in probe intervals.
+	// The exchange of the whole state makes up for what did not get through.
+	rumourProbes = 20
 	// piggybackBytes bounds the updates in a probe message.
 	piggybackBytes = 500
 	// urgentBytes bounds the updates in one urgent message.
@@ -35,14 +38,15 @@
 
 // rumour counts how often an update was sent.
 type rumour struct {
-	key  key
-	sent int
+	key   key
+	since time.Time
+	sent  int
 }
 
 // spread sends the current record of a subject along with probe messages.
 func (s *Service) spread(k key) {
 	s.rumours = slices.DeleteFunc(s.rumours, func(r rumour) bool { return r.key == k })
-	s.rumours = append(s.rumours, rumour{key: k})
+	s.rumours = append(s.rumours, rumour{key: k, since: s.now()})
 }
 
 // spreadNow also sends it at once to a few daemons, which do the same when
@@ -120,18 +124,26 @@
 		s.addUpdate(&u, daemonKey(to), &room)
 	}
 	slices.SortStableFunc(s.rumours, func(a, b rumour) int { return a.sent - b.sent })
-	limit := resendLimit(s.liveCount())
 	for i := range s.rumours {
 		if !s.addUpdate(&u, s.rumours[i].key, &room) {
 			break
 		}
 		s.rumours[i].sent++
 	}
-	s.rumours = slices.DeleteFunc(s.rumours, func(r rumour) bool { return r.sent >= limit })
+	s.dropRumours()
 	u.Samples = s.pickSamples()
 	return u
 }
 
+// dropRumours drops the updates that were sent often enough or are old.
+func (s *Service) dropRumours() {
+	limit := resendLimit(s.liveCount())
+	oldest := s.now().Add(-rumourProbes * s.cfg.ProbeInterval)
+	s.rumours = slices.DeleteFunc(s.rumours, func(r rumour) bool {
+		return r.sent >= limit || r.since.Before(oldest)
+	})
+}
+
 // resendLimit is how often an update is sent by each of n daemons.
 func resendLimit(n int) int {
 	return resendMult * int(math.Ceil(math.Log2(float64(n+1))))
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -56,7 +56,6 @@
 func (s *Service) onSync(from string, msg peer.Message) {
 	m := msg.(*stateSync)
 	s.update(func() {
-		s.heard(from)
 		s.mergeUpdates(&m.Updates)
 		switch m.Step {
 		case syncDigest:
--- /dev/null
+++ b/test/capacity/run_test.go
@@ -0,0 +1,84 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// outputEnv names the file that the slopes are written to. Without it nothing
+// is measured: the run takes minutes and its figures belong to the machine.
+const outputEnv = "CAPACITY_OUT"
+
+// recorder gathers the series of a run.
+type recorder struct {
+	series []Series
+}
+
+// add appends a point to the series of an id.
+func (r *recorder) add(s Series, size, value float64) {
+	for i := range r.series {
+		if r.series[i].ID == s.ID {
+			r.series[i].Points = append(r.series[i].Points, Point{size, value})
+			return
+		}
+	}
+	s.Points = []Point{{size, value}}
+	r.series = append(r.series, s)
+}
+
+func TestSlopes(t *testing.T) {
+	path := os.Getenv(outputEnv)
+	if path == "" {
+		t.Skipf("%s is not set", outputEnv)
+	}
+	r := &recorder{}
+	t.Run("members", func(t *testing.T) { measureMembers(t, r) })
+	t.Run("servers", func(t *testing.T) { measureServers(t, r) })
+	t.Run("links", func(t *testing.T) { measureLinks(t, r) })
+	t.Run("bundle", func(t *testing.T) { measureBundle(t, r) })
+	t.Run("messages", func(t *testing.T) { measureMessages(t, r) })
+	t.Run("requests", func(t *testing.T) { measureRequests(t, r) })
+	t.Run("entries", func(t *testing.T) { measureEntries(t, r) })
+	out, err := os.Create(path)
+	assert.NilError(t, err)
+	defer out.Close()
+	_, err = fmt.Fprintf(out, "# Measured slopes\n\nWritten by `make capacity`; do not edit. Measured with %s on %s/%s, %d processors, one size varied at a time. Each line is fitted by least squares: value = base + slope x size.\n\n",
+		runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+	assert.NilError(t, err)
+	assert.NilError(t, WriteTable(out, r.series))
+}
+
+// cpuTime returns the processor time of the process.
+func cpuTime(t testing.TB) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memory returns the bytes of live heap and of stacks.
+func memory() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// perCall returns the processor time of one call in nanoseconds.
+func perCall(t testing.TB, calls int, f func()) float64 {
+	t.Helper()
+	f()
+	runtime.GC()
+	before := cpuTime(t)
+	for range calls {
+		f()
+	}
+	return float64(cpuTime(t)-before) / float64(calls)
+}
