Serve the operators' interface over HTTP

Operators need the steps of a bundle change and the state of the system from any daemon. Errors carry a code, the findings and, after a lost race, the winner.

--- /dev/null
+++ b/operator/errors.go
@@ -0,0 +1,128 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/finding"
+	"github.com/jacinththread/jacinththread/platform"
+)
+
+var (
+	errPath   = errors.New("path does not exist")
+	errMethod = errors.New("path does not take this method")
+)
+
+// badRequest is an error of the request's form.
+type badRequest struct {
+	err error
+}
+
+// Error implements error.
+func (e *badRequest) Error() string { return e.err.Error() }
+
+// errorBody is the JSON form of every refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// Findings lists the faults of a bundle.
+	Findings finding.List `json:"findings,omitempty"`
+	// Winner is the version in force if another change was rolled first.
+	Winner *bundle.Pointer `json:"winner,omitempty"`
+}
+
+// refusalKind is how errors of one kind are answered.
+type refusalKind struct {
+	err    error
+	status int
+	code   string
+}
+
+// refusals lists the sentinel errors. ErrOutcomeUnknown stands before
+// ErrUnavailable, since an error may wrap both.
+var refusals = []refusalKind{
+	{errPath, http.StatusNotFound, "not_found"},
+	{errMethod, http.StatusMethodNotAllowed, "method_not_allowed"},
+	{bundle.ErrNotAnOperator, http.StatusUnauthorized, "unauthorized"},
+	{bundle.ErrBadChangeID, http.StatusBadRequest, "bad_change_id"},
+	{bundle.ErrLongNote, http.StatusBadRequest, "note_too_long"},
+	{bundle.ErrChangeNotFound, http.StatusNotFound, "change_not_found"},
+	{bundle.ErrVersionNotFound, http.StatusNotFound, "version_not_found"},
+	{bundle.ErrChangeIDTaken, http.StatusConflict, "change_id_taken"},
+	{bundle.ErrNotApproved, http.StatusConflict, "not_approved"},
+	{bundle.ErrOwnChange, http.StatusForbidden, "own_change"},
+	{bundle.ErrHistoryPruned, http.StatusGone, "history_pruned"},
+	{bundle.ErrNoVersion, http.StatusServiceUnavailable, "no_version"},
+	{platform.ErrOutcomeUnknown, http.StatusServiceUnavailable, "outcome_unknown"},
+	{platform.ErrUnavailable, http.StatusServiceUnavailable, "store_unavailable"},
+	{context.DeadlineExceeded, http.StatusServiceUnavailable, "store_unavailable"},
+}
+
+// describe returns the status and body for an error.
+func describe(err error) (int, errorDetail) {
+	d := errorDetail{Message: err.Error()}
+	var (
+		bad      *badRequest
+		tooLarge *http.MaxBytesError
+		found    *finding.Error
+		conflict *bundle.ConflictError
+		digest   *bundle.DigestError
+		size     *bundle.SizeError
+	)
+	switch {
+	case errors.As(err, &tooLarge):
+		d.Code = "body_too_large"
+		return http.StatusRequestEntityTooLarge, d
+	case errors.As(err, &bad):
+		d.Code = "bad_request"
+		return http.StatusBadRequest, d
+	case errors.As(err, &found):
+		d.Code, d.Findings = "findings", found.Findings.Sorted()
+		d.Message = "the bundle has findings"
+		return http.StatusUnprocessableEntity, d
+	case errors.As(err, &conflict):
+		d.Code, d.Winner = "stale_base", &conflict.Winner
+		return http.StatusConflict, d
+	case errors.As(err, &digest):
+		d.Code = "digest_mismatch"
+		return http.StatusConflict, d
+	case errors.As(err, &size):
+		d.Code = "bundle_too_large"
+		return http.StatusRequestEntityTooLarge, d
+	}
+	for _, k := range refusals {
+		if errors.Is(err, k.err) {
+			d.Code = k.code
+			return k.status, d
+		}
+	}
+	d.Code = "internal"
+	return http.StatusInternalServerError, d
+}
+
+func (a *api) writeError(w http.ResponseWriter, r *http.Request, err error) {
+	status, detail := describe(err)
+	if status == http.StatusInternalServerError {
+		a.cfg.Log.Error("operator call failed", "path", r.URL.Path, "err", err)
+	}
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, status, errorBody{Error: detail})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(body)
+}
