Serve the operators' interface and use the policy's estimates

Change: the operators' port serves the bundle, members, servers and queues; the gateway keeps its estimates in policy.Lengths and policy.RetryBudget; the bundle version in force is reported to peers at once instead of at the next tick, since only daemons with a bundle are listed as entries.

--- a/daemon/modules.go
+++ b/daemon/modules.go
@@ -79,7 +79,7 @@
 		{Name: reportName, Requires: []string{membershipName, bundleName, gatewayName}, New: p.newReport},
 		{
 			Name:     operatorsName,
-			Requires: []string{platformName, membershipName, bundleName, schedulerName},
+			Requires: []string{platformName, peerName, membershipName, bundleName, schedulerName},
 			New:      p.newOperators,
 		},
 		{
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -11,6 +11,8 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/operator"
+	"github.com/jacinththread/jacinththread/scheduler"
 	"github.com/jacinththread/jacinththread/telemetry"
 )
 
@@ -22,12 +24,28 @@
 }
 
 func (p *parts) newOperators(r kernel.Registry) (kernel.Service, error) {
-	bundles, err := kernel.Get[*bundle.Activator](r, bundleName)
+	store, err := kernel.Get[platformService](r, platformName)
+	if err != nil {
+		return nil, err
+	}
+	c, err := p.core(r)
+	if err != nil {
+		return nil, err
+	}
+	queues, err := kernel.Get[*scheduler.Service](r, schedulerName)
 	if err != nil {
 		return nil, err
 	}
 	router := mux.NewRouter()
-	telemetry.Routes(router, p.metrics, func() error { return ready(bundles) })
+	telemetry.Routes(router, p.metrics, func() error { return ready(c.bundles) })
+	router.PathPrefix("/v1/").Handler(operator.New(operator.Config{
+		Store:   store,
+		Source:  c.bundles,
+		View:    c.view,
+		Queues:  queues,
+		Log:     p.log,
+		Metrics: p.metrics,
+	}))
 	return &operators{
 		server: &http.Server{
 			Handler:           router,
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -58,6 +58,7 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
+		changed := r.bundles.Changed()
 		r.view.SetLoad(uint32(r.gateway.Held()))
 		if active := r.bundles.Current(); active != nil {
 			r.view.SetBundleVersion(active.Version)
@@ -66,6 +67,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-changed:
 		}
 	}
 }
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -81,7 +81,7 @@
 	for n := 1; ; n++ {
 		err := d.attempt(ctx)
 		if err == nil {
-			g.lengths.observe(d.req.class.Name, d.req.customer.Name, d.offset)
+			g.lengths.observe(d.req, d.offset)
 			return nil
 		}
 		if ctx.Err() != nil {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -4,48 +4,47 @@
 	"sync"
 
 	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/policy"
 )
 
 const (
 	// maxDispatches bounds how often one request is sent to backend servers.
 	maxDispatches = 5
-	// maxBudget bounds the retries a class can save up.
-	maxBudget = 20.0
-	// firstBudget lets a class retry before it has sent many requests.
-	firstBudget = 3.0
+	// firstBudget is the number of retries a class has before it has sent any
+	// request.
+	firstBudget = 3
 )
 
-// retryBudgets limits retries to a share of first tries, per class, so that
-// retries never multiply an overload.
+// retryBudgets holds a retry budget per class.
 type retryBudgets struct {
-	mu     sync.Mutex
-	tokens map[string]float64
+	mu      sync.Mutex
+	classes map[string]*policy.RetryBudget
 }
 
-func newRetryBudgets() *retryBudgets { return &retryBudgets{tokens: map[string]float64{}} }
+func newRetryBudgets() *retryBudgets {
+	return &retryBudgets{classes: map[string]*policy.RetryBudget{}}
+}
 
 // deposit adds what a first try earns.
 func (b *retryBudgets) deposit(class *bundle.Class) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens[class.Name] = min(b.balance(class.Name)+class.RetryBudget, maxBudget)
+	b.budget(class).FirstTry(class.RetryBudget)
 }
 
 // spend takes one retry and reports whether the budget had one.
 func (b *retryBudgets) spend(class *bundle.Class) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	left := b.balance(class.Name)
-	if left < 1 {
-		return false
-	}
-	b.tokens[class.Name] = left - 1
-	return true
+	return b.budget(class).Allow()
 }
 
-func (b *retryBudgets) balance(class string) float64 {
-	if v, ok := b.tokens[class]; ok {
-		return v
+func (b *retryBudgets) budget(class *bundle.Class) *policy.RetryBudget {
+	budget := b.classes[class.Name]
+	if budget == nil {
+		budget = &policy.RetryBudget{}
+		budget.FirstTry(firstBudget)
+		b.classes[class.Name] = budget
 	}
-	return firstBudget
+	return budget
 }
