--- a/bundle/roll.go
+++ b/bundle/roll.go
@@ -26,12 +26,14 @@
 	for {
 		current, rev, err := s.current(ctx)
 		if err == nil && current.Version != p.Base {
-			return s.settled(ctx, p, current)
+			at, err := s.settled(ctx, p, current)
+			return at, r.result(err)
 		}
 		if err == nil {
 			var next Pointer
 			next, err = s.swap(ctx, p, operator, rev)
 			if err == nil {
+				s.prune(ctx, next)
 				return next, nil
 			}
 		}
@@ -65,6 +67,9 @@
 	at := current
 	for at.Base > p.Base {
 		r, err := s.Version(ctx, at.Base)
+		if errors.Is(err, ErrVersionNotFound) {
+			return Pointer{}, trace.Wrap(ErrHistoryPruned, "change %q", p.ChangeID)
+		}
 		if err != nil {
 			return Pointer{}, err
 		}
--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -211,3 +211,49 @@
 	assert.Equal(t, Diff("1\n2\n3\n4\n5\n6\n7\n8\n9", "1\n2\n3\n4\nx\n6\n7\n8\n9\n0"),
 		"...\n 2\n 3\n 4\n-5\n+x\n 6\n 7\n 8\n 9\n+0\n")
 }
+
+func TestOldVersionsArePruned(t *testing.T) {
+	p := platformtest.New()
+	s := NewStore(p)
+	const rolls = KeptVersions + 20
+	for i := range rolls {
+		mustRoll(t, s, fmt.Sprint("change-", i+1), uint64(i), variant(t, i))
+	}
+	assert.Equal(t, len(p.Snapshot()), 2*KeptVersions+1)
+	history, err := s.History(t.Context(), rolls)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), KeptVersions)
+	_, err = s.Roll(t.Context(), "change-1", "ana")
+	assert.ErrorIs(t, err, ErrChangeNotFound)
+	at, err := s.Roll(t.Context(), "change-30", "ana")
+	assert.NilError(t, err)
+	assert.Equal(t, at.Version, uint64(30))
+}
+
+// The change took effect, another was rolled over it, and the store fails
+// while the outcome is being settled.
+func TestOutageWhileSettlingLeavesTheOutcomeUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platformtest.New()
+		s := NewStore(p)
+		mustRoll(t, s, "one", 0, variant(t, 1))
+		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
+		assert.NilError(t, err)
+		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
+		assert.NilError(t, err)
+		p.FailNext(platformtest.OpSwap, 1, platformtest.ReplyLost)
+		rolled := make(chan error)
+		go func() {
+			_, err := s.Roll(t.Context(), "two", "ana")
+			rolled <- err
+		}()
+		synctest.Wait()
+		mustRoll(t, s, "three", 2, variant(t, 3))
+		p.FailNext(platformtest.OpGet, 1, platformtest.None)
+		p.FailNext(platformtest.OpGet, 1, platformtest.Unavailable)
+		assert.ErrorIs(t, <-rolled, platform.ErrOutcomeUnknown)
+		at, err := s.Roll(t.Context(), "two", "ana")
+		assert.NilError(t, err)
+		assert.Equal(t, at.Version, uint64(2))
+	})
+}
