Resume a cut stream after its schedulers came back

Cause: a stream already begun was cut for good when, at the moment it had to be resumed, no scheduler knew a server for it. Seen in a trial with processes: a daemon in a planned stop, whose stream fell silent, and whose link to another daemon was silent too, answered no_server within milliseconds and cut the stream although three engines were live. Excluded: the retry budget (it had retries left) and the engines (they ran other requests). Change: a begun stream asks again every 100 ms, for up to the 10 s it may wait for a slot, as long as a live server exists that has not failed it. First requests are still refused at once, truthfully as not run.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,9 @@
 // resumeWait bounds the wait for a slot to resume a stream that was cut.
 const resumeWait = 10 * time.Second
 
+// resumePause is the time until a stream that found no server asks again.
+const resumePause = 100 * time.Millisecond
+
 func (g *Gateway) serveChat(w http.ResponseWriter, req *request) error {
 	return g.serveCompletion(w, req, chatPath)
 }
@@ -171,10 +175,37 @@
 	spec.Cost = d.gateway.lengths.cost(d.req, d.completion.maxTokens())
 	spec.Prefix = d.completion.prefix
 	spec.Avoid = d.avoid
-	if d.offset > 0 {
-		spec.GiveUp = time.Now().Add(resumeWait)
+	if d.offset == 0 {
+		return d.gateway.acquire(ctx, d.req, spec)
+	}
+	spec.GiveUp = time.Now().Add(resumeWait)
+	for {
+		slot, err := d.gateway.acquire(ctx, d.req, spec)
+		if err == nil || !d.mayFindServer(err) || time.Until(spec.GiveUp) < resumePause {
+			return slot, err
+		}
+		time.Sleep(resumePause)
+	}
+}
+
+// mayFindServer reports whether a refused stream should ask again: no
+// scheduler had a server for it, although one is live that has not failed it.
+// That passes when a stopping daemon's servers have a new scheduler or a silent
+// peer link is replaced.
+func (d *delivery) mayFindServer(err error) bool {
+	var refused *reservation.Refusal
+	if !errors.As(err, &refused) {
+		return false
+	}
+	if refused.Reason != scheduler.ReasonNoServer && refused.Reason != scheduler.ReasonStopping {
+		return false
+	}
+	for _, s := range d.gateway.cfg.View.Servers(d.pool.Service) {
+		if !s.Leaving && d.pool.Holds(s.Name) && !slices.Contains(d.avoid, s.Name) {
+			return true
+		}
 	}
-	return d.gateway.acquire(ctx, d.req, spec)
+	return false
 }
 
 // acquire waits for a slot within a span.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,6 +35,8 @@
 	servers  []membership.Server
 	reported []string
 	changed  chan struct{}
+	// alone is set while no scheduler is live.
+	alone bool
 }
 
 func (v *fakeView) Self() membership.Daemon { return membership.Daemon{Name: "g"} }
@@ -43,7 +45,22 @@
 	return []membership.Daemon{{Name: "g", State: membership.Alive}, {Name: "s", State: membership.Alive}}
 }
 
-func (v *fakeView) Schedulers() []string { return []string{"s"} }
+func (v *fakeView) Schedulers() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.alone {
+		return nil
+	}
+	return []string{"s"}
+}
+
+func (v *fakeView) setAlone(alone bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.alone = alone
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
 
 func (v *fakeView) Servers(service string) []membership.Server {
 	v.mu.Lock()
