--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -11,6 +11,9 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/operator"
+	"github.com/jacinththread/jacinththread/scheduler"
 	"github.com/jacinththread/jacinththread/telemetry"
 )
 
@@ -26,8 +29,13 @@
 	if err != nil {
 		return nil, err
 	}
+	api, err := p.operatorAPI(r, bundles)
+	if err != nil {
+		return nil, err
+	}
 	router := mux.NewRouter()
 	telemetry.Routes(router, p.metrics, func() error { return ready(bundles) })
+	router.PathPrefix("/v1/").Handler(api)
 	return &operators{
 		server: &http.Server{
 			Handler:           router,
@@ -39,6 +47,30 @@
 	}, nil
 }
 
+// operatorAPI returns the handler of the paths for operators.
+func (p *parts) operatorAPI(r kernel.Registry, bundles *bundle.Activator) (http.Handler, error) {
+	store, err := kernel.Get[platformService](r, platformName)
+	if err != nil {
+		return nil, err
+	}
+	view, err := kernel.Get[*membership.Service](r, membershipName)
+	if err != nil {
+		return nil, err
+	}
+	queues, err := kernel.Get[*scheduler.Service](r, schedulerName)
+	if err != nil {
+		return nil, err
+	}
+	return operator.New(operator.Config{
+		Store:   store,
+		Source:  bundles,
+		View:    view,
+		Queues:  queues,
+		Log:     p.log,
+		Metrics: p.metrics,
+	}), nil
+}
+
 func ready(bundles *bundle.Activator) error {
 	if !bundles.Ready() {
 		return errors.New("no bundle version is in force yet")
