--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 
@@ -91,14 +92,27 @@
 	err = ask(ctx, a, propose, func(p proposed) error {
 		return a.printFields("Change", p.ChangeID, "Digest", p.Digest)
 	})
-	var refused *client.RefusedError
-	if err != nil && !errors.As(err, &refused) {
-		// The proposal may have been stored.
+	if mayHaveRun(err) {
 		fmt.Fprintf(a.Err, "to repeat this proposal: --change-id %s\n", c.ChangeID)
 	}
 	return err
 }
 
+// mayHaveRun reports whether a call that failed may have taken effect: its
+// answer was lost, or the daemon does not know either.
+func mayHaveRun(err error) bool {
+	var usage *usageError
+	var refused *client.RefusedError
+	var unreachable *client.UnreachableError
+	switch {
+	case err == nil, errors.As(err, &usage), errors.As(err, &unreachable):
+		return false
+	case errors.As(err, &refused):
+		return refused.Status >= http.StatusInternalServerError
+	}
+	return true
+}
+
 // base returns the version that the change is made from.
 func (c *proposeCommand) base(ctx context.Context, o *client.Operator) (uint64, error) {
 	if c.Base == "" {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/ctl/load"
 )
 
@@ -182,11 +183,25 @@
 	assert.Assert(t, strings.Contains(got.out, "ATTAINMENT"), got.out)
 }
 
-func TestExampleWorkloadsAreValid(t *testing.T) {
+// TestExampleWorkloadsFitTheirBundles checks that each stream asks a model and
+// a class of the deployment's bundle, with the targets of the class.
+func TestExampleWorkloadsFitTheirBundles(t *testing.T) {
 	for _, deployment := range []string{"utility", "halvorsen"} {
-		w, err := load.ReadWorkload("../examples/" + deployment + "/workload.jsonc")
+		dir := "../examples/" + deployment
+		w, err := load.ReadWorkload(dir + "/workload.jsonc")
 		assert.NilError(t, err)
-		assert.Equal(t, len(w.Streams), 3)
+		data, err := os.ReadFile(dir + "/bundle.jsonc")
+		assert.NilError(t, err)
+		b, findings := bundle.Parse("bundle", data)
+		assert.NilError(t, findings.Err())
+		active := bundle.NewActive(1, b)
+		for _, s := range w.Streams {
+			class := active.Class(s.Class)
+			assert.Assert(t, class != nil, s.Class)
+			assert.Equal(t, s.FirstTokenMs, class.FirstTokenMs, s.Class)
+			assert.Equal(t, s.TokenGapMs, class.TokenGapMs, s.Class)
+			assert.Assert(t, active.PoolOfModel(w.ModelOf(s)) != nil, w.ModelOf(s))
+		}
 	}
 }
 
--- a/ctl/load/load_test.go
+++ b/ctl/load/load_test.go
@@ -163,15 +163,21 @@
 	}
 }
 
+func TestStreamMayAskAnotherModel(t *testing.T) {
+	w := workload(t)
+	assert.Equal(t, w.ModelOf(Stream{}), "m")
+	assert.Equal(t, w.ModelOf(Stream{Model: "long"}), "long")
+}
+
 func TestWorkloadFindings(t *testing.T) {
 	_, err := ParseWorkload("w", []byte(`{
 "duration_ms": 0, "rate": 1,
 "streams": [{"class": "a", "rate": 0, "prompt_tokens": {"median": 9, "max": 5}, "output_tokens": {"median": 1, "max": 1, "sigma": 9}}]
 }`))
 	assert.Error(t, err, strings.TrimSpace(`
-w:1:1: model: value is required
 w:2:16: duration_ms: 0 is not between 1 and 86400000
 w:2:19: rate: unknown field
+w:3:13: streams[0].model: neither the stream nor the workload names a model
 w:3:36: streams[0].rate: 0 is not above 0 and at most 100000
 w:3:77: streams[0].prompt_tokens.max: 5 is not between 9 and 1000000
 w:3:131: streams[0].output_tokens.sigma: 9 is not between 0 and 3`))
--- a/ctl/load/run.go
+++ b/ctl/load/run.go
@@ -95,7 +95,7 @@
 	defer func() { <-r.slots }()
 	s := r.Workload.Streams[a.stream]
 	q := client.Completion{
-		Model:     r.Workload.Model,
+		Model:     r.Workload.ModelOf(s),
 		Messages:  []client.Message{{Role: "user", Content: prompt(a)}},
 		MaxTokens: a.outputTokens,
 		Stream:    true,
--- a/ctl/load/workload.go
+++ b/ctl/load/workload.go
@@ -3,6 +3,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 
@@ -31,8 +32,9 @@
 	DrainMs int `json:"drain_ms"`
 	// MaxInFlight bounds the open requests. Arrivals beyond it are counted as
 	// not sent.
-	MaxInFlight int    `json:"max_in_flight"`
-	Model       string `json:"model"`
+	MaxInFlight int `json:"max_in_flight"`
+	// Model is asked by the streams that name no other.
+	Model string `json:"model"`
 	// Streams are the independent streams of requests.
 	Streams []Stream `json:"streams"`
 }
@@ -40,6 +42,8 @@
 // Stream is a Poisson stream of requests of one class and customer.
 type Stream struct {
 	Class string `json:"class"`
+	// Model is asked instead of the workload's; empty means that one.
+	Model string `json:"model"`
 	// TokenEnv names the environment variable with the customer's token; empty
 	// means the token of the command line.
 	TokenEnv string `json:"token_env"`
@@ -57,6 +61,9 @@
 	DeadlineMs int64 `json:"deadline_ms"`
 }
 
+// ModelOf returns the model that a stream asks.
+func (w *Workload) ModelOf(s Stream) string { return cmp.Or(s.Model, w.Model) }
+
 // Lengths is a log-normal distribution cut at Max.
 type Lengths struct {
 	Median int `json:"median"`
@@ -103,11 +110,11 @@
 	c.within("duration_ms", w.DurationMs, 1, maxDurationMs)
 	c.within("drain_ms", w.DrainMs, 0, maxDurationMs)
 	c.within("max_in_flight", w.MaxInFlight, 1, maxRate)
-	c.require(w.Model != "", "model", "value is required")
 	c.require(len(w.Streams) > 0, "streams", "at least one stream is required")
 	for i, s := range w.Streams {
 		field := fmt.Sprintf("streams[%d]", i)
 		c.require(s.Class != "", field+".class", "value is required")
+		c.require(w.ModelOf(s) != "", field+".model", "neither the stream nor the workload names a model")
 		c.require(s.Rate > 0 && s.Rate <= maxRate, field+".rate", "%g is not above 0 and at most %d", s.Rate, maxRate)
 		c.lengths(field+".prompt_tokens", s.PromptTokens)
 		c.lengths(field+".output_tokens", s.OutputTokens)
