Record a span for each grant and check the hops in the demo

Cause: a trace had no hop of the scheduler, and the demo's check for hops failed on pipes that grep -q closes early (excluded: missing spans, which the listing showed). Change: the scheduler records the time a sampled request waited in its queue; the demo counts the hops.

--- a/daemon/modules.go
+++ b/daemon/modules.go
@@ -237,6 +237,7 @@
 		GrantFor:   time.Duration(p.settings.Routing.GrantMs) * time.Millisecond,
 		Log:        p.log,
 		Metrics:    p.metrics,
+		Tracer:     p.tracer,
 	}), nil
 }
 
--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -138,10 +138,9 @@
   cat $run_dir/spans-*.jsonl | grep -F "\"SpanContext\":{\"TraceID\":\"$trace\"" |
     sed -E 's/.*"Name":"([^"]+)".*"StartTime":"[^T]+T([^Z]+)Z","EndTime":"[^T]+T([^Z]+)Z".*"service.instance.id","Value":\{"Type":"STRING","Value":"([^"]+)".*/\2 \3 \4 \1/' |
     sort | awk '{printf "  %-10s %-12s %s to %s\n", $3, $4, $1, $2}'
-  for hop in gateway reservation schedule dispatch; do
-    cat $run_dir/spans-*.jsonl | grep -F "\"TraceID\":\"$trace\"" | grep -qF "\"Name\":\"$hop\"" ||
-      fail "the trace has no span for hop $hop"
-  done
+  local hops
+  hops=$(cat $run_dir/spans-*.jsonl | grep -F "\"TraceID\":\"$trace\"" | grep -oE '"Name":"(gateway|reservation|schedule|dispatch)"' | sort -u | wc -l)
+  check "hops with a span" "$hops" 4
 }
 
 rm -rf $run_dir
--- a/policy/reservation.go
+++ b/policy/reservation.go
@@ -31,6 +31,10 @@
 	Prefix uint64
 	// Avoid names servers that already failed this request.
 	Avoid []string
+	// Queued is when the reservation reached the scheduler.
+	Queued time.Time
+	// Trace is the W3C traceparent of the request; empty if it is not sampled.
+	Trace string
 }
 
 // item is a queued reservation.
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -46,6 +46,7 @@
 		ev.Server = pick.Server
 		ev.Allowance = pick.Allowance
 	})
+	s.traceGrant(now, r, pick.Server)
 	s.sendGrant(e)
 }
 
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -88,6 +88,8 @@
 		Arrived:  now.Add(-time.Duration(m.WaitedMs) * time.Millisecond),
 		Cost:     m.Cost,
 		Prefix:   m.Prefix,
+		Queued:   now,
+		Trace:    m.Trace,
 		Avoid:    m.Avoid,
 	}
 	if c := s.active.Class(m.Class); c != nil {
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
@@ -40,6 +41,9 @@
 	GrantFor time.Duration
 	Log      *log.Logger
 	Metrics  metrics.Registry
+	// Tracer records a span for each grant of a sampled request; nil records
+	// none.
+	Tracer trace.Tracer
 	// Observe receives each decision, if set. It is called under the service's
 	// lock and must not block.
 	Observe func(Event)
