--- a/peer/accept.go
+++ b/peer/accept.go
@@ -12,7 +12,7 @@
 const (
 	// maxHandshakes bounds the accepted connections that have not proved yet
 	// that they come from a peer.
-	maxHandshakes = 64
+	maxHandshakes = 512
 	// receiveBuffer is the read buffer of an accepted link, in bytes.
 	receiveBuffer = 4 << 10
 	acceptRetry   = 50 * time.Millisecond
