--- a/ctl/operator_test.go
+++ b/ctl/operator_test.go
@@ -166,27 +166,23 @@
 }
 
 func TestProposeWithoutOutcomeTellsHowToRepeat(t *testing.T) {
-	d := newDaemon(t)
-	var answer http.HandlerFunc
-	d.mux.HandleFunc("POST /v1/bundle/proposals", func(w http.ResponseWriter, r *http.Request) { answer(w, r) })
-	propose := func() outcome {
+	propose := func(answer http.HandlerFunc) outcome {
+		d := newDaemon(t)
+		d.mux.HandleFunc("POST /v1/bundle/proposals", answer)
 		return d.tool(t, "bundle", "propose", "--base", "7", "--change-id", "fees-2", writeFile(t, validBundle))
 	}
-	answer = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-	got := propose()
+	got := propose(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	assert.Equal(t, got.code, ExitFailed)
 	assert.Assert(t, strings.Contains(got.err, "--change-id fees-2"), got.err)
 
-	answer = func(w http.ResponseWriter, _ *http.Request) {
+	got = propose(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		fmt.Fprint(w, `{"error":{"code":"outcome_unknown","message":"unknown"}}`)
-	}
-	got = propose()
+	})
 	assert.Equal(t, got.code, ExitRefused)
 	assert.Assert(t, strings.Contains(got.err, "--change-id fees-2"), got.err)
 
-	answer = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }
-	got = propose()
+	got = propose(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
 	assert.Equal(t, got.code, ExitRefused)
 	assert.Assert(t, !strings.Contains(got.err, "--change-id"), got.err)
 }
