Report syntax errors beyond the first one

Cause: the parser stops at its first error, so a file with two missing commas needed two rounds, and one syntax error hid every other finding. Findings about values that were put in are left out, and a patch that leads to no later place ends the reading. Where the meaning would be a guess, reading stops as before. Excluded: a tolerant parser of our own.

--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -9,8 +9,6 @@
 	"fmt"
 	"reflect"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/jacinththread/jacinththread/finding"
 )
 
@@ -20,29 +18,33 @@
 // Decode parses data as JSON with comments and trailing commas and stores it
 // in v, a non-nil pointer. Field names match exactly.
 //
-// A document whose syntax is wrong has one finding, at the first place where
-// parsing failed. Otherwise all unknown fields, doubled fields and values of a
-// wrong type are reported, and the rest of the document is stored in v. The
-// file name is only used in findings. The document is never nil.
+// All unknown fields, doubled fields and values of a wrong type are reported,
+// and the rest of the document is stored in v. After a syntax error, reading
+// goes on if the place can be passed over, such as a missing comma or a word
+// without quotes; otherwise the syntax errors so far are all that is reported
+// and v is not changed. The file name is only used in findings. The document
+// is never nil.
 func Decode(file string, data []byte, v any) (*Document, finding.List) {
 	doc := newDocument(file, data)
 	if offset := excessDepth(data); offset >= 0 {
 		msg := fmt.Sprintf("nested deeper than %d levels", MaxDepth)
 		return doc, finding.List{doc.at(offset, "", msg)}
 	}
-	root, err := hujson.Parse(endComment(data))
-	if err != nil {
-		return doc, finding.List{doc.syntaxFinding(err)}
+	root, errs := parse(data)
+	if root == nil {
+		return doc, doc.syntaxFindings(errs)
 	}
 	w := walker{doc: doc}
-	w.value("", &root, reflect.TypeOf(v).Elem())
+	w.value("", root, reflect.TypeOf(v).Elem())
+	findings := doc.syntaxFindings(errs)
+	findings = append(findings, doc.notPatched(w.findings, errs)...)
 
 	root.Standardize()
-	err = json.Unmarshal(root.Pack(), v)
-	if err != nil && len(w.findings) == 0 {
-		w.findings = append(w.findings, doc.decodeFinding(err))
+	err := json.Unmarshal(root.Pack(), v)
+	if err != nil && len(findings) == 0 {
+		findings = append(findings, doc.decodeFinding(err))
 	}
-	return doc, w.findings
+	return doc, findings
 }
 
 // decodeFinding places an error of encoding/json that the walk did not find.
--- a/jsonc/document.go
+++ b/jsonc/document.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"regexp"
-	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -17,10 +15,12 @@
 	data []byte
 	// offsets maps the path of each field to the byte offset of its value.
 	offsets map[string]int
+	// fields maps the byte offset of each field's name and value to its path.
+	fields map[int]string
 }
 
 func newDocument(file string, data []byte) *Document {
-	return &Document{file: file, data: data, offsets: map[string]int{}}
+	return &Document{file: file, data: data, offsets: map[string]int{}, fields: map[int]string{}}
 }
 
 // Finding returns a finding about a field, such as classes[2].tier. It is
@@ -35,6 +35,12 @@
 	return ok
 }
 
+// record remembers the place of a field's value.
+func (d *Document) record(path string, offset int) {
+	d.offsets[path] = offset
+	d.fields[offset] = path
+}
+
 func (d *Document) offsetOf(field string) int {
 	for {
 		if offset, ok := d.offsets[field]; ok {
@@ -62,18 +68,3 @@
 	start := 1 + bytes.LastIndexByte(before, '\n')
 	return line, 1 + utf8.RuneCount(before[start:])
 }
-
-// syntaxPlace matches the place at the start of the parser's errors.
-var syntaxPlace = regexp.MustCompile(`^hujson: line (\d+), column (\d+): `)
-
-func (d *Document) syntaxFinding(err error) finding.Finding {
-	text := err.Error()
-	f := finding.Finding{File: d.file, Line: 1, Column: 1}
-	if m := syntaxPlace.FindStringSubmatch(text); m != nil {
-		f.Line, _ = strconv.Atoi(m[1])
-		f.Column, _ = strconv.Atoi(m[2])
-		text = text[len(m[0]):]
-	}
-	f.Message = "syntax error: " + strings.TrimPrefix(text, "hujson: ")
-	return f
-}
--- a/jsonc/jsonc_test.go
+++ b/jsonc/jsonc_test.go
@@ -85,6 +85,54 @@
 	}
 }
 
+func TestDecodeGoesOnAfterSyntaxErrors(t *testing.T) {
+	var v table
+	_, findings := Decode("t", []byte(`{
+  "rows": [
+    {"name": "é" "tier": 300},
+    {"name": , "tier": yes}
+    {"nane": "c"}
+  ],
+  "ratio": 0x10,
+  "on": "yes"
+}`), &v)
+	assert.Error(t, findings.Err(), strings.TrimSpace(`
+t:3:18: rows[0].tier: syntax error: invalid character '"' after object value (expecting ',' or '}')
+t:3:26: rows[0].tier: 300 is not a valid int8
+t:4:14: rows[1].name: syntax error: invalid character ',' at start of value
+t:4:24: rows[1].tier: syntax error: invalid literal: yes
+t:5:5: rows[2]: syntax error: invalid character '{' after array value (expecting ',' or ']')
+t:5:6: rows[2].nane: unknown field
+t:7:12: ratio: syntax error: invalid literal: 0x10
+t:8:9: on: boolean expected, string found`))
+}
+
+func TestDecodeStopsWhereItMustGuess(t *testing.T) {
+	for _, input := range []string{
+		`{"a": 1; "b": yes}`,
+		`{"a" 1, "b": yes}`,
+		"{\"a\": 1 // x\n\"b\": yes}",
+		"{\"a\": 1 /* x */\"b\": yes}",
+		`{"a": 'x', "b": yes}`,
+		`{"a": [1,,2], "b": yes}`,
+		`{"a": yes`,
+	} {
+		var v map[string]any
+		_, findings := Decode("t", []byte(input), &v)
+		assert.Assert(t, len(findings) > 0, input)
+		assert.Assert(t, v == nil, input)
+		for _, f := range findings {
+			assert.Assert(t, strings.HasPrefix(f.Message, "syntax error: "), "%s: %s", input, f)
+		}
+	}
+}
+
+func TestDecodeBoundsSyntaxErrors(t *testing.T) {
+	var v any
+	_, findings := Decode("t", []byte("["+strings.Repeat("yes, ", 100)+"]"), &v)
+	assert.Equal(t, len(findings), maxSyntaxErrors)
+}
+
 func TestDecodeBoundsNesting(t *testing.T) {
 	var v any
 	within := strings.Repeat("[", MaxDepth) + strings.Repeat("]", MaxDepth)
--- a/jsonc/walk.go
+++ b/jsonc/walk.go
@@ -31,7 +31,7 @@
 
 // value checks the value at path against the type t.
 func (w *walker) value(path string, v *hujson.Value, t reflect.Type) {
-	w.doc.offsets[path] = v.StartOffset
+	w.doc.record(path, v.StartOffset)
 	kind := v.Value.Kind()
 	if t.Kind() == reflect.Pointer {
 		if kind != 'n' {
@@ -94,6 +94,7 @@
 		m := &o.Members[i]
 		name := m.Name.Value.(hujson.Literal).String()
 		child := join(path, name)
+		w.doc.fields[m.Name.StartOffset] = child
 		if offset, doubled := first[name]; doubled {
 			line, _ := w.doc.place(offset)
 			w.report(&m.Name, child, "field is given twice, first on line %d", line)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -84,6 +84,16 @@
 s.jsonc:20:77: telemetry.sample_ratio: 2 is not between 0 and 1`))
 }
 
+func TestSyntaxErrorsDoNotHideOtherFindings(t *testing.T) {
+	text := strings.Replace(minimal, `"name": "entry-1"`, `"name": Entry1`, 1)
+	text = strings.Replace(text, `"http://10.0.0.9:90"`, `"10.0.0.9", "timeout_ms": 1s`, 1)
+	_, err := Parse("s", []byte(text))
+	assert.Error(t, err, strings.TrimSpace(`
+s:2:10: name: syntax error: invalid literal: Entry1
+s:4:22: platform.url: URL "10.0.0.9" does not start with http:// or https://
+s:4:48: platform.timeout_ms: syntax error: invalid literal: 1s`))
+}
+
 func TestParseChecksEveryBound(t *testing.T) {
 	for _, b := range bounds {
 		group, field, _ := strings.Cut(b.field, ".")
