Prove that an accepted bundle version is in force everywhere and never goes back

Runs of 7 daemons in virtual time with racing operators, outages, lost and late writes, lossy links, daemons that are paused, silent towards the store or replaced with nothing kept. The checkers compare what the store accepted with what each daemon put in force; a test feeds each of them faulty histories.

--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,14 +28,17 @@
 
 	mu    sync.Mutex
 	peers []Peer
-	// regressions lists versions that followed a higher one on a daemon.
-	regressions []string
+	began time.Time
+	lives int
+	// events is what happened to the daemons and their versions.
+	events []versionEvent
 }
 
 // node is one daemon of a fleet.
 type node struct {
 	*Activator
 	name   string
+	life   int
 	region string
 	link   *platformtest.Link
 	stop   context.CancelFunc
@@ -46,7 +50,7 @@
 func newFleet(t *testing.T, seed uint64, n int) *fleet {
 	t.Helper()
 	plat := platformtest.New()
-	f := &fleet{t: t, net: peertest.NewNetwork(seed), plat: plat, store: NewStore(plat), nodes: map[string]*node{}}
+	f := &fleet{t: t, net: peertest.NewNetwork(seed), plat: plat, store: NewStore(plat), nodes: map[string]*node{}, began: time.Now()}
 	f.net.SetDelay(2*time.Millisecond, 3*time.Millisecond)
 	for i := range n {
 		f.peers = append(f.peers, Peer{Name: fmt.Sprint("d", i), Region: regions[i%len(regions)], Live: true})
@@ -54,10 +58,20 @@
 	for _, p := range f.peers {
 		f.start(p.Name, p.Region)
 	}
-	t.Cleanup(func() { assert.Equal(t, len(f.regressions), 0, "%v", f.regressions) })
+	t.Cleanup(func() {
+		assert.Equal(t, strings.Join(checkNeverBack(f.events, n), "\n"), "")
+	})
 	return f
 }
 
+// record notes an event.
+func (f *fleet) record(e versionEvent) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.at = time.Since(f.began)
+	f.events = append(f.events, e)
+}
+
 // listed returns the peers as all daemons see them.
 func (f *fleet) listed() []Peer {
 	f.mu.Lock()
@@ -82,25 +96,25 @@
 	link := f.plat.Link()
 	a := NewActivator(Config{Store: link, Bus: f.net.Bus(name), Region: region, Peers: f.listed})
 	ctx, cancel := context.WithCancel(f.t.Context())
-	n := &node{Activator: a, name: name, region: region, link: link, stop: cancel}
+	f.lives++
+	n := &node{Activator: a, name: name, life: f.lives, region: region, link: link, stop: cancel}
 	f.nodes[name] = n
+	f.record(versionEvent{kind: started, daemon: name, life: n.life})
 	go f.observe(ctx, n)
 	assert.NilError(f.t, a.Start(ctx))
 	return n
 }
 
-// observe notes a version that is not higher than the one before.
+// observe records each version that a daemon puts in force.
 func (f *fleet) observe(ctx context.Context, n *node) {
-	last := uint64(0)
+	var last *Active
 	for {
 		changed := n.Changed()
-		if a := n.Current(); a != nil {
-			if a.Version < last {
-				f.mu.Lock()
-				f.regressions = append(f.regressions, fmt.Sprintf("%s went from %d to %d", n.name, last, a.Version))
-				f.mu.Unlock()
-			}
-			last = a.Version
+		if a := n.Current(); a != last {
+			digest, err := Digest(a.Bundle)
+			assert.Check(f.t, err)
+			f.record(versionEvent{kind: inForce, daemon: n.name, life: n.life, version: a.Version, digest: digest})
+			last = a
 		}
 		select {
 		case <-ctx.Done():
@@ -114,6 +128,7 @@
 func (f *fleet) crash(name string) {
 	f.t.Helper()
 	n := f.nodes[name]
+	f.record(versionEvent{kind: ended, daemon: name, life: n.life})
 	f.net.Remove(name)
 	n.stop()
 	assert.NilError(f.t, n.Stop(f.t.Context()))
--- a/bundle/follow.go
+++ b/bundle/follow.go
@@ -26,8 +26,9 @@
 	// minPollInterval is the shortest time between polls of a daemon that does
 	// not watch.
 	minPollInterval = 2 * time.Second
-	// pollsPerSecond bounds the polls of all daemons together.
-	pollsPerSecond = 20
+	// pollsPerSecond bounds the polls of all daemons together, before jitter
+	// that shortens each interval by up to half.
+	pollsPerSecond = 15
 	// isolatedAfter is the time without a message after which a daemon no longer
 	// counts on others to tell it.
 	isolatedAfter = 2 * time.Second
@@ -185,16 +186,16 @@
 	return max(minPollInterval, n*time.Second/pollsPerSecond)
 }
 
-// sleep waits between half of d and one and a half times d.
+// sleep waits between half of d and d.
 func (a *Activator) sleep(ctx context.Context, d time.Duration) {
 	pause(ctx, scale(d, a.jitter()))
 }
 
-// jitter returns a number between 0.5 and 1.5.
+// jitter returns a number between 0.5 and 1.
 func (a *Activator) jitter() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return 0.5 + a.rng.Float64()
+	return 0.5 + a.rng.Float64()/2
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
--- /dev/null
+++ b/bundle/proof_test.go
@@ -0,0 +1,253 @@
+package bundle
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/internal/proof"
+	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/platform/platformtest"
+)
+
+const (
+	proofDaemons = 7
+	proofSteps   = 60
+	// proofSettle is the time without faults at the end of a run.
+	proofSettle = 10 * time.Second
+)
+
+func TestProofBundleInForce(t *testing.T) {
+	prove(t, proof.BundleInForceID, func(events []versionEvent) []string {
+		return checkInForce(events, spreadBound)
+	})
+}
+
+func TestProofBundleNeverBack(t *testing.T) {
+	prove(t, proof.BundleNeverBack, func(events []versionEvent) []string {
+		return checkNeverBack(events, proofDaemons)
+	})
+}
+
+// prove checks the histories of runs with faults and prints the result.
+func prove(t *testing.T, id proof.ID, check func([]versionEvent) []string) {
+	t.Helper()
+	seeds := proof.Seeds(t, 1, 8)
+	count, violations := 0, []string{}
+	for _, seed := range seeds {
+		events := historyOf(t, seed)
+		count += len(events)
+		for _, v := range check(events) {
+			violations = append(violations, fmt.Sprintf("seed %d: %s", seed, v))
+		}
+	}
+	proof.Line(id, len(seeds), count, len(violations), seeds)
+	assert.Equal(t, strings.Join(violations, "\n"), "")
+}
+
+// scenario is one run with faults drawn from a seed.
+type scenario struct {
+	*fleet
+	rng     *rand.Rand
+	changes int
+	rolls   sync.WaitGroup
+	// cut holds the daemons that are cut off; half are left alone.
+	cut map[string]bool
+	// silent holds the daemons that don't reach the store.
+	silent map[string]bool
+}
+
+// histories keeps the runs, which both proofs check.
+var histories = map[uint64][]versionEvent{}
+
+func historyOf(t *testing.T, seed uint64) []versionEvent {
+	t.Helper()
+	if histories[seed] == nil {
+		histories[seed] = faultyRun(t, seed)
+	}
+	return histories[seed]
+}
+
+// faultyRun returns what happened in a run of several daemons and operators.
+func faultyRun(t *testing.T, seed uint64) []versionEvent {
+	var events []versionEvent
+	synctest.Test(t, func(t *testing.T) {
+		s := &scenario{fleet: newFleet(t, seed, proofDaemons), rng: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{}, silent: map[string]bool{}}
+		s.plat.Observe(s.onWrite)
+		s.plat.SetLatency(time.Millisecond)
+		s.net.SetLoss(0.1, 0.1)
+		s.roll()
+		for range proofSteps {
+			s.step(t.Context())
+			time.Sleep(time.Duration(100+s.rng.IntN(1500)) * time.Millisecond)
+		}
+		s.heal()
+		s.rolls.Wait()
+		time.Sleep(proofSettle)
+		s.record(versionEvent{kind: storeUp})
+		s.mu.Lock()
+		events = s.events
+		s.mu.Unlock()
+		s.close()
+	})
+	return events
+}
+
+// onWrite records each version that the store accepts.
+func (s *scenario) onWrite(e platform.Entry) {
+	var p Pointer
+	if e.Key == currentKey && assert.Check(s.t, decodeValue(e.Value, &p)) {
+		s.record(versionEvent{kind: acceptedInStore, version: p.Version, digest: p.Digest})
+	}
+}
+
+// step causes or ends one fault, or lets two operators race.
+func (s *scenario) step(ctx context.Context) {
+	name := fmt.Sprint("d", s.rng.IntN(proofDaemons))
+	switch s.rng.IntN(10) {
+	case 0, 1, 2:
+		s.race(ctx)
+	case 3:
+		s.plat.SetDown(true)
+		s.record(versionEvent{kind: storeDown})
+	case 4, 5:
+		s.plat.SetDown(false)
+		s.record(versionEvent{kind: storeUp})
+	case 6:
+		s.toggleCut(name)
+	case 7:
+		s.toggleSilent(name)
+	case 8:
+		s.replaceDaemon(name)
+	case 9:
+		share := 0.1 * s.rng.Float64()
+		s.plat.SetRandomFaults(platformtest.RandomFaults{
+			Seed: s.rng.Uint64(), Unavailable: share, ReplyLost: share, RequestLost: share, Late: share,
+		})
+	}
+}
+
+// race lets two operators roll changes from one base.
+func (s *scenario) race(ctx context.Context) {
+	for range 2 {
+		s.changes++
+		id, content := fmt.Sprint("race-", s.changes), variant(s.t, s.changes)
+		s.rolls.Go(func() { _ = s.tryRoll(ctx, id, content) })
+	}
+}
+
+func (s *scenario) tryRoll(ctx context.Context, id, content string) error {
+	p, err := s.store.Current(ctx)
+	if err != nil && !errors.Is(err, ErrNoVersion) {
+		return err
+	}
+	proposal, err := s.store.Propose(ctx, Change{ID: id, Base: p.Version, Content: content}, "ana")
+	if err != nil {
+		return err
+	}
+	if _, err = s.store.Approve(ctx, id, proposal.Digest, "ben"); err != nil {
+		return err
+	}
+	for range 3 {
+		if _, err = s.store.Roll(ctx, id, "ana"); !errors.Is(err, platform.ErrOutcomeUnknown) {
+			return err
+		}
+	}
+	return err
+}
+
+// toggleCut pauses a daemon, or lets it go on.
+func (s *scenario) toggleCut(name string) {
+	if s.cut[name] {
+		delete(s.cut, name)
+		s.net.Resume(name)
+		s.nodes[name].link.Set(platformtest.LinkUp)
+		s.record(versionEvent{kind: restored, daemon: name})
+		return
+	}
+	if 2*(len(s.cut)+len(s.silent)+1) > proofDaemons {
+		return
+	}
+	s.cut[name] = true
+	s.net.Pause(name)
+	s.nodes[name].link.Set(platformtest.LinkSilent)
+	s.record(versionEvent{kind: cutOff, daemon: name})
+}
+
+// toggleSilent lets a daemon's calls to the store hang, or go through.
+func (s *scenario) toggleSilent(name string) {
+	switch {
+	case s.cut[name]:
+	case s.silent[name]:
+		delete(s.silent, name)
+		s.nodes[name].link.Set(platformtest.LinkUp)
+	case 2*(len(s.cut)+len(s.silent)+1) <= proofDaemons:
+		s.silent[name] = true
+		s.nodes[name].link.Set(platformtest.LinkSilent)
+	}
+}
+
+// replaceDaemon replaces a daemon by one that remembers nothing.
+func (s *scenario) replaceDaemon(name string) {
+	delete(s.cut, name)
+	delete(s.silent, name)
+	s.replace(name)
+}
+
+// heal ends all faults.
+func (s *scenario) heal() {
+	for i := range proofDaemons {
+		name := fmt.Sprint("d", i)
+		if s.cut[name] {
+			s.toggleCut(name)
+		}
+		if s.silent[name] {
+			s.toggleSilent(name)
+		}
+	}
+	s.plat.SetRandomFaults(platformtest.RandomFaults{})
+	s.plat.SetDown(false)
+	s.record(versionEvent{kind: storeUp})
+}
+
+func TestCheckersRefuseFaultyHistories(t *testing.T) {
+	at := func(s int, e versionEvent) versionEvent {
+		e.at = time.Duration(s) * time.Second
+		return e
+	}
+	start := []versionEvent{
+		at(0, versionEvent{kind: started, daemon: "a", life: 1}),
+		at(0, versionEvent{kind: acceptedInStore, version: 1, digest: "x"}),
+		at(1, versionEvent{kind: inForce, daemon: "a", life: 1, version: 1, digest: "x"}),
+	}
+	end := at(20, versionEvent{kind: storeUp})
+	for name, more := range map[string][]versionEvent{
+		"late":    {at(2, versionEvent{kind: acceptedInStore, version: 2, digest: "y"}), at(7, versionEvent{kind: inForce, daemon: "a", life: 1, version: 2, digest: "y"})},
+		"never":   {at(2, versionEvent{kind: acceptedInStore, version: 2, digest: "y"})},
+		"content": {at(2, versionEvent{kind: acceptedInStore, version: 2, digest: "y"}), at(3, versionEvent{kind: inForce, daemon: "a", life: 1, version: 2, digest: "z"})},
+	} {
+		events := append(append([]versionEvent{}, start...), append(more, end)...)
+		assert.Equal(t, len(checkInForce(events, spreadBound)), 1, name)
+		assert.Equal(t, len(checkNeverBack(events, 1)), 0, name)
+	}
+	assert.Equal(t, len(checkInForce(append(append([]versionEvent{}, start...), end), spreadBound)), 0)
+	for name, more := range map[string][]versionEvent{
+		"daemon": {at(2, versionEvent{kind: inForce, daemon: "a", life: 1, version: 0, digest: "x"})},
+		"store":  {at(2, versionEvent{kind: acceptedInStore, version: 1, digest: "x"})},
+		"start": {
+			at(1, versionEvent{kind: inForce, daemon: "a", life: 1, version: 5, digest: "x"}),
+			at(2, versionEvent{kind: started, daemon: "b", life: 2}),
+			at(3, versionEvent{kind: inForce, daemon: "b", life: 2, version: 4, digest: "x"}),
+		},
+	} {
+		assert.Equal(t, len(checkNeverBack(append(append([]versionEvent{}, start...), more...), 1)), 1, name)
+	}
+}
