Do not run the rest of an answer that its caller does not receive

Cause: a caller that stopped reading looked like a failed server: the rest of its answer was asked of another server, and the first one was counted as failed. Change: a failed write towards the caller ends the request at once, cancels the engine and returns the slot as canceled. Conclusion: no work goes on that nobody receives.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -26,6 +27,9 @@
 	textPath = "/v1/completions"
 )
 
+// errCallerGone means that the caller takes no more of its answer.
+var errCallerGone = errors.New("caller does not receive the answer")
+
 // resumeWait bounds the wait for a slot to resume a stream that was cut.
 const resumeWait = 10 * time.Second
 
@@ -91,6 +95,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if errors.Is(err, errCallerGone) {
+			return err
+		}
 		if !d.retryable(err, n) {
 			e := d.finalError(err)
 			d.out.abort(e)
@@ -229,7 +236,7 @@
 	switch {
 	case err == nil:
 		return scheduler.OutcomeOK
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errCallerGone):
 		return scheduler.OutcomeCanceled
 	case errors.Is(err, dispatch.ErrSilent):
 		return scheduler.OutcomeSilent
@@ -269,7 +276,10 @@
 		ev, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			d.gateway.counters.tokens.Inc(int64(d.offset))
-			return d.out.end()
+			if err := d.out.end(); err != nil {
+				return fmt.Errorf("%w: %v", errCallerGone, err)
+			}
+			return nil
 		}
 		if err != nil {
 			return err
@@ -279,8 +289,8 @@
 			d.gateway.counters.observe(d.req.class.Name, time.Since(d.req.arrived), d.req.firstTokenTarget())
 		}
 		if err := d.out.event(ev); err != nil {
-			d.gateway.counters.wasted.Inc(int64(d.offset))
-			return err
+			d.gateway.counters.wasted.Inc(int64(stream.Offset()))
+			return fmt.Errorf("%w: %v", errCallerGone, err)
 		}
 		d.offset = stream.Offset()
 		d.text.WriteString(ev.Chunk.Text())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 
@@ -104,7 +105,7 @@
 		g.counters.served.Inc(1)
 		return
 	}
-	if req.http.Context().Err() != nil {
+	if req.http.Context().Err() != nil || errors.Is(err, errCallerGone) {
 		g.counters.left.Inc(1)
 		return
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -117,6 +117,9 @@
 	engines map[string]*engine.Engine
 	ledger  *plain.Server
 	metrics metrics.Registry
+
+	gateway      *Gateway
+	reservations *reservation.Manager
 }
 
 func testBundle() *bundle.Active {
@@ -178,21 +181,22 @@
 	claimer := claims.New(claims.Config{Store: h.store, Owner: "g/1", Log: quiet, Metrics: h.metrics})
 	assert.NilError(h.t, claimer.Start(context.Background()))
 	h.t.Cleanup(func() { assert.NilError(h.t, claimer.Stop(context.Background())) })
-	g := New(Config{
-		Bundles: bundles,
-		View:    h.view,
-		Reservations: reservation.NewManager(reservation.Config{
-			Bus: network.Bus("g"), View: h.view, Bundles: bundles, Count: 3, Seed: 1, Metrics: h.metrics,
-		}),
-		Backends: dispatch.New(dispatch.Config{Silence: 5 * time.Second, Metrics: h.metrics}),
-		Claims:   claimer,
-		Limits:   settings.Callers{MaxBodyBytes: 1 << 16, ReadTimeoutMs: 5000},
-		Entries:  http.NotFoundHandler(),
-		Log:      quiet,
-		Metrics:  h.metrics,
-		Tracer:   noop.NewTracerProvider().Tracer(""),
+	h.reservations = reservation.NewManager(reservation.Config{
+		Bus: network.Bus("g"), View: h.view, Bundles: bundles, Count: 3, Seed: 1, Metrics: h.metrics,
+	})
+	h.gateway = New(Config{
+		Bundles:      bundles,
+		View:         h.view,
+		Reservations: h.reservations,
+		Backends:     dispatch.New(dispatch.Config{Silence: 2 * time.Second, Metrics: h.metrics}),
+		Claims:       claimer,
+		Limits:       settings.Callers{MaxBodyBytes: 1 << 16, ReadTimeoutMs: 5000},
+		Entries:      http.NotFoundHandler(),
+		Log:          quiet,
+		Metrics:      h.metrics,
+		Tracer:       noop.NewTracerProvider().Tracer(""),
 	})
-	s := httptest.NewServer(g.Handler())
+	s := httptest.NewServer(h.gateway.Handler())
 	h.t.Cleanup(s.Close)
 	h.url = s.URL
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -51,8 +51,11 @@
 	draining bool
 	// cutAfter closes each stream after this many tokens; zero never.
 	cutAfter int
-	runs     []*Run
-	slots    *prioritySlots
+	// hangAfter stops each stream after this many tokens without closing it;
+	// zero never.
+	hangAfter int
+	runs      []*Run
+	slots     *prioritySlots
 }
 
 // New returns an engine.
@@ -182,7 +185,7 @@
 func (e *Engine) generate(ctx context.Context, g *generation, emit func(i int, token string) error) error {
 	for i := g.offset; i < g.total; i++ {
 		e.mu.Lock()
-		wait, cut := e.cfg.TokenGap, e.cutAfter
+		wait, cut, hang := e.cfg.TokenGap, e.cutAfter, e.hangAfter
 		if i == g.offset {
 			wait = e.cfg.FirstToken
 		}
@@ -190,6 +193,10 @@
 		if cut > 0 && i-g.offset >= cut {
 			return errCut
 		}
+		if hang > 0 && i-g.offset >= hang {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if err := sleep(ctx, wait); err != nil {
 			return err
 		}
@@ -239,6 +246,7 @@
 type Faults struct {
 	Draining     bool `json:"draining"`
 	CutAfter     int  `json:"cut_after"`
+	HangAfter    int  `json:"hang_after"`
 	FirstTokenMs *int `json:"first_token_ms"`
 	TokenGapMs   *int `json:"token_gap_ms"`
 }
@@ -249,6 +257,7 @@
 	defer e.mu.Unlock()
 	e.draining = f.Draining
 	e.cutAfter = f.CutAfter
+	e.hangAfter = f.HangAfter
 	if f.FirstTokenMs != nil {
 		e.cfg.FirstToken = time.Duration(*f.FirstTokenMs) * time.Millisecond
 	}
