Look after all peer links with one timer and answer without being asked

Cause: each quiet link woke the process once a second, and each isolated message cost two more packets: the question for a sign of life and its answer. At the design size most messages are alone on their link.

Change: one timer for all links of a node wakes only those that are due; receivers answer within a heartbeat of themselves, and senders ask only after one and a half.

--- a/peer/accept.go
+++ b/peer/accept.go
@@ -57,11 +57,12 @@
 		n.cfg.Log.Warn("peer link was refused", "peer", from, "addr", conn.RemoteAddr(), "err", err)
 		return
 	}
-	if !n.addInbound(from, conn) {
+	in := &inbound{conn: conn}
+	if !n.addInbound(from, in) {
 		return
 	}
-	defer n.removeInbound(from, conn)
-	err = n.receive(from, conn, r)
+	defer n.removeInbound(from, in)
+	err = n.receive(from, in, r)
 	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		n.cfg.Log.Warn("peer link broke while receiving", "peer", from, "err", err)
 	}
@@ -75,7 +76,7 @@
 }
 
 // receive handles messages until the connection fails. The error is never nil.
-func (n *Node) receive(from string, conn net.Conn, r *bufio.Reader) error {
+func (n *Node) receive(from string, in *inbound, r *bufio.Reader) error {
 	reply, err := AppendFrame(nil, &heartbeat{Reply: true})
 	if err != nil {
 		return err
@@ -90,8 +91,9 @@
 			buf = nil
 		}
 		if len(frame) >= frameHeaderBytes && Kind(frame[1]) == KindHeartbeat {
-			err = n.reply(conn, reply)
+			err = n.reply(in.conn, reply)
 		} else {
+			in.owed.Store(true)
 			err = n.dispatch(from, frame)
 		}
 		if err != nil {
@@ -100,35 +102,25 @@
 	}
 }
 
-// reply answers a heartbeat.
-func (n *Node) reply(conn net.Conn, frame []byte) error {
-	if err := conn.SetWriteDeadline(time.Now().Add(n.cfg.silence())); err != nil {
-		return err
-	}
-	written, err := conn.Write(frame)
-	n.metrics.bytesSent.Inc(int64(written))
-	return err
-}
-
 // addInbound records a link and closes an older one of the same peer, which
 // has abandoned it. It reports false when the node is stopping.
-func (n *Node) addInbound(from string, conn net.Conn) bool {
+func (n *Node) addInbound(from string, in *inbound) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
 		return false
 	}
 	if old := n.inbound[from]; old != nil {
-		old.Close()
+		old.conn.Close()
 	}
-	n.inbound[from] = conn
+	n.inbound[from] = in
 	return true
 }
 
-func (n *Node) removeInbound(from string, conn net.Conn) {
+func (n *Node) removeInbound(from string, in *inbound) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.inbound[from] == conn {
+	if n.inbound[from] == in {
 		delete(n.inbound, from)
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -24,7 +24,8 @@
 	mu       sync.RWMutex
 	listener net.Listener
 	links    map[string]*link
-	inbound  map[string]net.Conn
+	inbound  map[string]*inbound
+	sessions map[*session]struct{}
 	down     []func(string)
 	closed   bool
 }
@@ -38,13 +39,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
-		cfg:     cfg,
-		metrics: newNodeMetrics(cfg.Metrics),
-		ctx:     ctx,
-		cancel:  cancel,
-		local:   newOutbox(cfg.QueueBytes),
-		links:   map[string]*link{},
-		inbound: map[string]net.Conn{},
+		cfg:      cfg,
+		metrics:  newNodeMetrics(cfg.Metrics),
+		ctx:      ctx,
+		cancel:   cancel,
+		local:    newOutbox(cfg.QueueBytes),
+		links:    map[string]*link{},
+		inbound:  map[string]*inbound{},
+		sessions: map[*session]struct{}{},
 	}, nil
 }
 
@@ -60,6 +62,7 @@
 	n.mu.Unlock()
 	n.done.Go(func() { n.accept(l) })
 	n.done.Go(n.deliverLocal)
+	n.done.Go(n.beat)
 	return nil
 }
 
