--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -39,6 +39,8 @@
 	// Server and Allowance are set for grants.
 	Server    string
 	Allowance bool
+	// Reason is set for refusals and evictions.
+	Reason InfeasibleReason
 	// NewcomerTier is the tier an eviction made room for.
 	NewcomerTier int
 }
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -87,7 +87,9 @@
 	if p == nil {
 		return false
 	}
-	p.Cancel(key)
+	if p.Cancel(key) {
+		s.record(EventCanceled, now, p.name, &policy.Reservation{Key: key}, nil)
+	}
 	if e := s.ledger.offered[key]; e != nil {
 		s.unused(now, e)
 	}
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -61,8 +61,9 @@
 	verdict := p.Reserve(now, r)
 	s.refuseWithdrawn(now, p, 0, r.Tier)
 	if verdict.Refusal != policy.NotRefused {
-		s.record(EventRefused, now, p.name, &r, nil)
-		s.refuse(key, reasonOf(verdict.Refusal), verdict.RetryAfter)
+		reason := reasonOf(verdict.Refusal)
+		s.record(EventRefused, now, p.name, &r, func(e *Event) { e.Reason = reason })
+		s.refuse(key, reason, verdict.RetryAfter)
 		return
 	}
 	s.record(EventQueued, now, p.name, &r, nil)
@@ -133,7 +134,10 @@
 			kind = EventEvicted
 			s.metrics.evicted.Inc(1)
 		}
-		s.record(kind, now, p.name, &w.Reservation, func(e *Event) { e.NewcomerTier = newcomer })
+		s.record(kind, now, p.name, &w.Reservation, func(e *Event) {
+			e.Reason = why
+			e.NewcomerTier = newcomer
+		})
 		s.refuse(w.Reservation.Key, why, w.RetryAfter)
 	}
 }
