Isolate a server whose running requests are overdue

Cause: a straggler's speed was known only once requests finished on it, ten times later than usual for one at a tenth of its speed. Change: a server is reduced to probes when at least three requests, and half of those it runs, take four times what their cost explains. Conclusion: found by a test in virtual time while the requests still run.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -76,6 +76,12 @@
 // Service returns the mean slot time of a request.
 func (l *Load) Service() time.Duration { return seconds(l.service) }
 
+// Overdue reports whether a request runs far longer than its cost explains.
+func (l *Load) Overdue(age time.Duration, cost uint32) bool {
+	expected := max(float64(cost)*l.perToken, l.service)
+	return l.Trusted() && cost > 0 && age.Seconds() > overdueRatio*expected
+}
+
 // Wait estimates how long a request waits behind the given work, in tokens,
 // when no slot is free.
 func (l *Load) Wait(ahead float64, slots int) time.Duration {
--- a/policy/grant.go
+++ b/policy/grant.go
@@ -211,3 +211,16 @@
 	}
 	return Reference(p.gaps, target.TokenGap)
 }
+
+// Overdue reports whether a running request takes far longer than its cost
+// explains.
+func (p *Pool) Overdue(age time.Duration, cost uint32) bool { return p.load.Overdue(age, cost) }
+
+// Suspect isolates a server on which too many of the running requests are
+// overdue, before they finish and tell its speed.
+func (p *Pool) Suspect(now time.Time, server string, overdue int) {
+	s := p.Server(server)
+	if s != nil && overdue >= minOverdue && 2*overdue >= s.used {
+		s.Health.Suspect(now)
+	}
+}
--- a/policy/straggler.go
+++ b/policy/straggler.go
@@ -26,6 +26,11 @@
 	// minProbeInterval and maxProbeInterval bound the pause between probes.
 	minProbeInterval = time.Second
 	maxProbeInterval = 30 * time.Second
+	// overdueRatio is how much longer than expected an overdue request runs.
+	overdueRatio = 4.0
+	// minOverdue is the number of overdue requests that isolate a server, if
+	// they are half of those that run.
+	minOverdue = 3
 	// goodProbes is the number of good probes in a row before a return.
 	goodProbes = 2
 	// minMedianServers is the least number of servers whose median is trusted.
@@ -122,6 +127,13 @@
 	}
 }
 
+// Suspect isolates a healthy server because what runs on it is overdue.
+func (h *Health) Suspect(now time.Time) {
+	if h.state == Healthy {
+		h.isolate(now)
+	}
+}
+
 // isolate reduces the server to probes and doubles the pause between them.
 func (h *Health) isolate(now time.Time) {
 	h.state = Probing
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -205,3 +205,19 @@
 		s.record(EventRequeued, now, p.name, &e.pick.Reservation, nil)
 	}
 }
+
+// suspectStragglers counts the overdue requests of each server.
+func (s *Service) suspectStragglers(now time.Time) {
+	overdue := map[string]int{}
+	for _, e := range s.ledger.running {
+		p := s.pools[e.pool]
+		if p != nil && p.Overdue(now.Sub(e.started), e.pick.Reservation.Cost) {
+			overdue[e.server]++
+		}
+	}
+	for _, p := range s.ordered {
+		for _, srv := range p.Servers() {
+			p.Suspect(now, srv.Name, overdue[srv.Name])
+		}
+	}
+}
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -176,6 +176,7 @@
 	s.expireGrants(now)
 	s.checkRounds(now)
 	s.audit(now)
+	s.suspectStragglers(now)
 	for _, p := range s.ordered {
 		p.Expire(now)
 		s.refuseWithdrawn(now, p, 0, 0)
--- a/scheduler/service_test.go
+++ b/scheduler/service_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/policy"
 )
 
 const gatewayName = "g"
@@ -233,3 +235,44 @@
 		assert.Equal(t, out[0].m.(*Infeasible).Reason, ReasonNoServer)
 	})
 }
+
+// run grants and finishes one request that takes as long as given.
+func (b *bench) run(t *testing.T, id uint64, took time.Duration) {
+	t.Helper()
+	g := grantIn(t, b.bus.deliver(gatewayName, reserve(id, 0)))
+	b.bus.deliver(gatewayName, &Accept{GrantID: g.GrantID, ID: id, Server: g.Server})
+	sleep(took)
+	b.bus.deliver(gatewayName, &Done{
+		GrantID: g.GrantID, ID: id, Server: g.Server, Outcome: OutcomeOK, Class: tierClass(0),
+		Tokens: 100, FirstTokenMs: 100, TokenGapUs: 20_000,
+	})
+}
+
+func TestServerWhoseRequestsAreOverdueGetsProbesOnly(t *testing.T) {
+	withBench(t, 4, []string{"s1", "s2"}, func(t *testing.T, b *bench) {
+		for id := range uint64(30) {
+			b.run(t, id+1, 500*time.Millisecond)
+		}
+		var sound []*Grant
+		for id := uint64(100); id < 108; id++ {
+			g := grantIn(t, b.bus.deliver(gatewayName, reserve(id, 0)))
+			b.bus.deliver(gatewayName, &Accept{GrantID: g.GrantID, ID: id, Server: g.Server})
+			if g.Server == "s2" {
+				sound = append(sound, g)
+			}
+		}
+		assert.Equal(t, len(sound), 4)
+		for _, g := range sound {
+			b.bus.deliver(gatewayName, &Done{GrantID: g.GrantID, ID: g.ID, Server: "s2", Outcome: OutcomeCanceled})
+		}
+		sleep(10 * time.Second)
+		stragglers := 0
+		for _, srv := range b.svc.ordered[0].Servers() {
+			if srv.Health.State() == policy.Probing {
+				assert.Equal(t, srv.Name, "s1")
+				stragglers++
+			}
+		}
+		assert.Equal(t, stragglers, 1)
+	})
+}
