--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS := ./...
 TEST_TIMEOUT := 7m
 
-.PHONY: all build test format-check vet lint unit proofs clean
+.PHONY: all build test format-check vet lint unit proofs measure clean
 
 all: build
 
@@ -35,5 +35,15 @@
 proofs:
 	@GO="$(GO)" ./.ci/proofs
 
+# Compares the router with simpler ways of routing and writes
+# docs/MEASUREMENTS.md. SEED=N sets another first seed and QUICK=1 runs two
+# seeds; neither writes the page. JOBS=N runs N experiments at a time.
+JOBS ?= 4
+MEASURE_OUT = $(if $(SEED)$(QUICK),,$(CURDIR)/docs)
+measure:
+	$(GO) test -c -o bin/measure.test ./test/measure
+	MEASURE=1 SEED=$(SEED) QUICK=$(QUICK) OUT=$(MEASURE_OUT) GOMAXPROCS=$(JOBS) \
+		bin/measure.test -test.run '^TestMeasure$$' -test.parallel $(JOBS) -test.timeout 20m
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/test/measure/ablation.go
@@ -0,0 +1,25 @@
+package measure
+
+// ablation is the router with one choice changed, and where it is measured.
+type ablation struct {
+	variant   variant
+	scenarios []string
+}
+
+func ablations() []ablation {
+	change := func(name string, f func(*variant), scenarios ...string) ablation {
+		v := defaultVariant()
+		v.name = name
+		f(&v)
+		return ablation{v, scenarios}
+	}
+	loaded := []string{"steady", "burst-lowest"}
+	return []ablation{
+		change("d=1", func(v *variant) { v.count = 1 }, loaded...),
+		change("d=2", func(v *variant) { v.count = 2 }, loaded...),
+		change("d=4", func(v *variant) { v.count = 4 }, loaded...),
+		change("no-affinity", func(v *variant) { v.noAffinity = true }, loaded...),
+		change("fixed-slots", func(v *variant) { v.fixedSlots = true }, "steady", "burst-lowest", "straggler"),
+		change("no-resume", func(v *variant) { v.noResume = true }, "crash", "silent"),
+	}
+}
