--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS := ./...
 TEST_TIMEOUT := 7m
 
-.PHONY: all build test format-check vet lint unit proofs measure clean
+.PHONY: all build test format-check vet lint unit proofs measure capacity clean
 
 all: build
 
@@ -45,5 +45,9 @@
 	MEASURE=1 SEED=$(SEED) QUICK=$(QUICK) OUT=$(MEASURE_OUT) GOMAXPROCS=$(JOBS) \
 		bin/measure.test -test.run '^TestMeasure$$' -test.parallel $(JOBS) -test.timeout 20m
 
+# Measures the slopes that docs/CAPACITY.md extrapolates from. Takes minutes.
+capacity:
+	CAPACITY_OUT=$(CURDIR)/docs/CAPACITY-SLOPES.md $(GO) test -count=1 -timeout 15m -run TestSlopes ./test/capacity
+
 clean:
 	rm -rf bin
