Leave room in the targets for waiting and probe isolated servers

Cause, found by the measurement: the adaptive slots of a server grew until as many requests missed their targets as the classes promise, counting lower classes' leniency for the highest, so a burst used up the whole promise at the server and the wait for a slot came on top. And an isolated server was scored below every other, so it got no probe while others were free: a server that crashed for 20 s stayed unused for up to 150 s.

Change: slots shrink once a server uses 0.85 of a target, every request is held to the pool's strictest token gap, and a decrease is a tenth instead of a fifth. A due probe goes to the suspected server unless the request is of the highest tier; one good probe starts the return, which is at the same width.

--- a/policy/grant.go
+++ b/policy/grant.go
@@ -196,6 +196,7 @@
 	}
 	s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
 	if s.Health.State() == Healthy {
+		f.Observation.Target.TokenGap = p.strictestGap
 		s.Slots.Observe(now, f.Observation)
 	}
 	s.Health.Settle(s.Slots.Limit())
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -88,6 +88,8 @@
 	claims    []string
 	gaps      []time.Duration
 	slots     int
+	// strictestGap is the shortest target for the token gap; zero means none.
+	strictestGap time.Duration
 	// newcomer is the reservation being decided on, kept here because taking
 	// its address would allocate.
 	newcomer Reservation
@@ -127,7 +129,11 @@
 	old := p.classes
 	p.classes = make(map[string]*classClock, len(spec.Classes))
 	p.ordered = p.ordered[:0]
+	p.strictestGap = 0
 	for _, c := range spec.Classes {
+		if gap := c.Target.TokenGap; gap > 0 && (p.strictestGap == 0 || gap < p.strictestGap) {
+			p.strictestGap = gap
+		}
 		if c.Starvation <= 0 {
 			c.Starvation = defaultStarvation
 		}
--- /dev/null
+++ b/policy/recovery_test.go
@@ -0,0 +1,72 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// recoveryPool has two idle servers and a strict and a lenient class.
+func recoveryPool(maxSlots int) *Pool {
+	p := NewPool(PoolSpec{
+		Limit: 100, Slots: 4, MaxSlots: maxSlots,
+		Classes: []ClassSpec{
+			{Name: "strict", Tier: 0, Target: chatTarget, Starvation: time.Minute},
+			{Name: "lenient", Tier: 4, Target: Target{FirstToken: time.Minute, TokenGap: time.Second, Promise: 0.9}, Starvation: time.Minute},
+		},
+	})
+	p.SetServers([]ServerSpec{{Name: "s1"}, {Name: "s2"}})
+	return p
+}
+
+func grantOne(t *testing.T, p *Pool, now time.Time, class string, id uint64) Pick {
+	t.Helper()
+	v := p.Reserve(now, Reservation{Key: Key{Gateway: "g", ID: id}, Class: class, Customer: "c", Cost: 10, Arrived: now, Deadline: now.Add(time.Second)})
+	assert.Equal(t, v.Refusal, NotRefused)
+	pick, ok := p.Next(now)
+	assert.Assert(t, ok)
+	return pick
+}
+
+// failServer makes a server fail until it is isolated.
+func failServer(p *Pool, now time.Time, name string) {
+	for range maxFailuresInRow {
+		p.Observe(now, Finished{Server: name, Class: "lenient", Observation: Observation{Failed: true}})
+	}
+}
+
+func TestIsolatedServerIsProbedWhileOthersAreFree(t *testing.T) {
+	p := recoveryPool(4)
+	failServer(p, epoch, "s1")
+	assert.Equal(t, grantOne(t, p, epoch, "lenient", 1).Server, "s2")
+	due := epoch.Add(minProbeInterval)
+	assert.Equal(t, grantOne(t, p, due, "strict", 2).Server, "s2", "the highest tier is kept from a suspected server")
+	assert.Equal(t, grantOne(t, p, due, "lenient", 3).Server, "s1")
+	assert.Equal(t, grantOne(t, p, due, "lenient", 4).Server, "s2", "one probe at a time")
+}
+
+func TestSlotsLeaveRoomForTheWait(t *testing.T) {
+	s := NewSlots(2, 64)
+	most := 0
+	for range 100 {
+		runServer(&s, 5*time.Millisecond, 30)
+		most = max(most, s.Limit())
+	}
+	// 15 slots use up the whole target of 75 ms a token.
+	assert.Assert(t, most <= 13, "%d", most)
+}
+
+func TestLenientClassDoesNotWidenABatchBeyondTheStrictestTarget(t *testing.T) {
+	p := recoveryPool(64)
+	now := epoch
+	for range 200 {
+		s := p.Server("s1")
+		s.Slots.Used(s.Slots.Limit())
+		gap := time.Duration(s.Slots.Limit()) * 5 * time.Millisecond
+		p.Observe(now, Finished{Server: "s1", Class: "lenient", Cost: 10, Took: time.Second, Observation: Observation{FirstToken: time.Second, TokenGap: gap}})
+		now = now.Add(time.Second)
+	}
+	limit := p.Server("s1").Slots.Limit()
+	assert.Assert(t, limit <= 15, "%d slots use %d ms a token", limit, 5*limit)
+}
--- a/policy/server.go
+++ b/policy/server.go
@@ -17,8 +17,10 @@
 	affinityScore = 0.5
 	// ownerScore prefers a server of the customer's owner.
 	ownerScore = 0.25
-	// probeScore keeps requests from a suspected straggler while others are free.
-	probeScore = -4.0
+	// probeScore sends a request to a suspected server when a probe is due, or
+	// the server would stay out for as long as others are free. Requests of the
+	// highest tier are kept from it.
+	probeScore = 4.0
 	// takeoverShare is the part of the slots granted before the gateways have
 	// declared what they run.
 	takeoverShare = 0.25
@@ -79,8 +81,12 @@
 	if r.Owner != "" && r.Owner == s.Owner {
 		score += ownerScore
 	}
-	if s.Health.State() == Probing {
+	switch {
+	case s.Health.State() != Probing:
+	case r.Tier > 0:
 		score += probeScore
+	default:
+		score -= probeScore
 	}
 	return score
 }
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -5,11 +5,15 @@
 // Why slots adapt: the number of requests a model engine can batch within the
 // latency targets depends on the model, the prompts and the machine, and is not
 // known in advance. Additive increase while the targets hold and the slots are
-// in use, and multiplicative decrease when more requests miss than the class
-// promises, finds it and follows it.
+// in use, and multiplicative decrease when more requests come near their targets
+// than the classes promise, finds it and follows it. A request counts before it
+// misses, because it may also have waited for its slot. Every request is held to
+// the pool's strictest token gap, because all share the batch.
 
 const (
-	slotsDecrease = 0.8
+	// slotHeadroom is the part of a target that the server itself may use.
+	slotHeadroom  = 0.85
+	slotsDecrease = 0.9
 	slotsIncrease = 1.0
 	// minSlotWindow is the least number of finished requests judged together.
 	minSlotWindow = 8
@@ -38,11 +42,14 @@
 	Failed bool
 }
 
-// Misses reports whether the request missed one of its targets.
-func (o Observation) Misses() bool {
-	late := o.Target.FirstToken > 0 && o.FirstToken > o.Target.FirstToken
-	slow := o.Target.TokenGap > 0 && o.TokenGap > o.Target.TokenGap
-	return o.Failed || late || slow
+// Strained reports whether the server failed the request or used more than
+// its part of a target.
+func (o Observation) Strained() bool {
+	return o.Failed || exceeds(o.FirstToken, o.Target.FirstToken) || exceeds(o.TokenGap, o.Target.TokenGap)
+}
+
+func exceeds(d, target time.Duration) bool {
+	return target > 0 && float64(d) > slotHeadroom*float64(target)
 }
 
 // Slots is the adaptive number of concurrent requests of one server.
@@ -50,7 +57,7 @@
 	limit     float64
 	max       int
 	finished  int
-	misses    float64
+	strained  float64
 	allowed   float64
 	saturated bool
 	changed   time.Time
@@ -82,19 +89,19 @@
 // Observe judges a finished request and may change the number of slots.
 func (s *Slots) Observe(now time.Time, o Observation) {
 	s.finished++
-	if o.Misses() {
-		s.misses++
+	if o.Strained() {
+		s.strained++
 	}
 	s.allowed += 1 - o.Target.Promise
 	if s.finished < max(minSlotWindow, s.Limit()) || now.Sub(s.changed) < minSlotPeriod {
 		return
 	}
-	// One miss alone is within any promise below one.
-	if s.misses > max(1, s.allowed) {
+	// One request alone is within any promise below one.
+	if s.strained > max(1, s.allowed) {
 		s.limit = max(1, s.limit*slotsDecrease)
-	} else if s.saturated && s.misses <= s.allowed {
+	} else if s.saturated && s.strained <= s.allowed {
 		s.limit = min(float64(s.max), s.limit+slotsIncrease)
 	}
-	s.finished, s.misses, s.allowed, s.saturated = 0, 0, 0, false
+	s.finished, s.strained, s.allowed, s.saturated = 0, 0, 0, false
 	s.changed = now
 }
--- a/policy/straggler.go
+++ b/policy/straggler.go
@@ -27,7 +27,7 @@
 	minProbeInterval = time.Second
 	maxProbeInterval = 30 * time.Second
 	// goodProbes is the number of good probes in a row before a return.
-	goodProbes = 2
+	goodProbes = 1
 	// minMedianServers is the least number of servers whose median is trusted.
 	minMedianServers = 3
 )
