Run the slots test on one clock

Each batch of observations began again at the same time, so the slots did not change and the test passed on the code before the fix. It now fails there (16 slots) and passes on the present code.

--- a/policy/recovery_test.go
+++ b/policy/recovery_test.go
@@ -49,8 +49,10 @@
 func TestSlotsLeaveRoomForTheWait(t *testing.T) {
 	s := NewSlots(2, 64)
 	most := 0
-	for range 100 {
-		runServer(&s, 5*time.Millisecond, 30)
+	for i := range 3000 {
+		s.Used(s.Limit())
+		gap := time.Duration(s.Limit()) * 5 * time.Millisecond
+		s.Observe(epoch.Add(time.Duration(i)*200*time.Millisecond), Observation{FirstToken: time.Second, TokenGap: gap, Target: chatTarget})
 		most = max(most, s.Limit())
 	}
 	// 15 slots use up the whole target of 75 ms a token.
