Grant express slots to batching servers only and keep their width under load

Cause: express slots doubled a server of one slot, and plain services may not run more than their slots.

--- a/policy/express.go
+++ b/policy/express.go
@@ -16,6 +16,9 @@
 // surveyExpress finds the servers that may take a request of the highest
 // waiting tier beyond their slots.
 func (p *Pool) surveyExpress(now time.Time) {
+	if !p.spec.Batches {
+		return
+	}
 	top := p.highestWaiting()
 	for _, s := range p.servers {
 		n := s.capacity(now)
@@ -29,7 +32,7 @@
 	p.express = top
 }
 
-func expressSlots(slots int) int { return max(1, int(float64(slots)*expressShare)) }
+func expressSlots(slots int) int { return int(float64(slots) * expressShare) }
 
 // lowestRunning returns the lowest tier that runs on a server, or -1.
 func (p *Pool) lowestRunning(s *Server) int {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -29,7 +29,10 @@
 	// server.
 	Slots    int
 	MaxSlots int
-	Classes  []ClassSpec
+	// Batches is set if the servers run requests of different priorities
+	// together and may take a few of a higher tier beyond their slots.
+	Batches bool
+	Classes []ClassSpec
 	// Owners holds the share of its servers' slots that an owner may claim.
 	Owners map[string]float64
 }
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -6,12 +6,13 @@
 // latency targets depends on the model, the prompts and the machine, and is not
 // known in advance. Additive increase while the targets hold and the slots are
 // in use, and multiplicative decrease when more requests come near their targets
-// than the classes promise, finds it and follows it. A request counts before it
-// misses, because it may also have waited for its slot. Every request is held to
+// than the classes promise, finds it and follows it. A late first token counts
+// before it misses, because the request may also have waited for its slot. Every request is held to
 // the pool's strictest token gap, because all share the batch.
 
 const (
-	// slotHeadroom is the part of a target that the server itself may use.
+	// slotHeadroom is the part of the target for the first token that the server
+	// itself may use; the wait for a slot needs the rest.
 	slotHeadroom  = 0.85
 	slotsDecrease = 0.9
 	slotsIncrease = 1.0
@@ -42,14 +43,18 @@
 	Failed bool
 }
 
-// Strained reports whether the server failed the request or used more than
-// its part of a target.
+// Strained reports whether the server failed the request, used more than its
+// part of the target for the first token, or missed the one for the token gap.
 func (o Observation) Strained() bool {
-	return o.Failed || exceeds(o.FirstToken, o.Target.FirstToken) || exceeds(o.TokenGap, o.Target.TokenGap)
+	slow := o.Target.TokenGap > 0 && o.TokenGap > o.Target.TokenGap
+	return o.Failed || slow || o.lateStart()
 }
 
-func exceeds(d, target time.Duration) bool {
-	return target > 0 && float64(d) > slotHeadroom*float64(target)
+// lateStart reports whether the first token left too little of its target for
+// the wait before the dispatch.
+func (o Observation) lateStart() bool {
+	target := float64(o.Target.FirstToken)
+	return target > 0 && float64(o.FirstToken) > slotHeadroom*target
 }
 
 // Slots is the adaptive number of concurrent requests of one server.
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -83,6 +83,9 @@
 		MaxSlots: max(b.Slots, b.MaxSlots),
 		Owners:   map[string]float64{},
 	}
+	if service := s.active.Service(b.Service); service != nil {
+		spec.Batches = service.Kind == bundle.Engine
+	}
 	for _, o := range s.active.Bundle.Owners {
 		spec.Owners[o.Name] = o.Share
 	}
