--- a/ctl/operator_test.go
+++ b/ctl/operator_test.go
@@ -165,12 +165,24 @@
 	assert.Equal(t, d.tool(t, "bundle", "propose", "--base", "x", file).code, ExitUsage)
 }
 
-func TestProposeWithLostAnswerTellsHowToRepeat(t *testing.T) {
-	d := newDaemon(t)
-	d.mux.HandleFunc("POST /v1/bundle/proposals", func(http.ResponseWriter, *http.Request) {
-		panic(http.ErrAbortHandler)
-	})
-	got := d.tool(t, "bundle", "propose", "--base", "7", "--change-id", "fees-2", writeFile(t, validBundle))
+func TestProposeWithoutOutcomeTellsHowToRepeat(t *testing.T) {
+	propose := func(answer http.HandlerFunc) outcome {
+		d := newDaemon(t)
+		d.mux.HandleFunc("POST /v1/bundle/proposals", answer)
+		return d.tool(t, "bundle", "propose", "--base", "7", "--change-id", "fees-2", writeFile(t, validBundle))
+	}
+	got := propose(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	assert.Equal(t, got.code, ExitFailed)
 	assert.Assert(t, strings.Contains(got.err, "--change-id fees-2"), got.err)
+
+	got = propose(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error":{"code":"outcome_unknown","message":"unknown"}}`)
+	})
+	assert.Equal(t, got.code, ExitRefused)
+	assert.Assert(t, strings.Contains(got.err, "--change-id fees-2"), got.err)
+
+	got = propose(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) })
+	assert.Equal(t, got.code, ExitRefused)
+	assert.Assert(t, !strings.Contains(got.err, "--change-id"), got.err)
 }
--- a/daemon/modules.go
+++ b/daemon/modules.go
@@ -79,7 +79,7 @@
 		{Name: reportName, Requires: []string{membershipName, bundleName, gatewayName}, New: p.newReport},
 		{
 			Name:     operatorsName,
-			Requires: []string{platformName, membershipName, bundleName, schedulerName},
+			Requires: []string{platformName, peerName, membershipName, bundleName, schedulerName},
 			New:      p.newOperators,
 		},
 		{
@@ -237,6 +237,7 @@
 		GrantFor:   time.Duration(p.settings.Routing.GrantMs) * time.Millisecond,
 		Log:        p.log,
 		Metrics:    p.metrics,
+		Tracer:     p.tracer,
 	}), nil
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -11,7 +11,6 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/kernel"
-	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/operator"
 	"github.com/jacinththread/jacinththread/scheduler"
 	"github.com/jacinththread/jacinththread/telemetry"
@@ -25,17 +24,28 @@
 }
 
 func (p *parts) newOperators(r kernel.Registry) (kernel.Service, error) {
-	bundles, err := kernel.Get[*bundle.Activator](r, bundleName)
+	store, err := kernel.Get[platformService](r, platformName)
 	if err != nil {
 		return nil, err
 	}
-	api, err := p.operatorAPI(r, bundles)
+	c, err := p.core(r)
+	if err != nil {
+		return nil, err
+	}
+	queues, err := kernel.Get[*scheduler.Service](r, schedulerName)
 	if err != nil {
 		return nil, err
 	}
 	router := mux.NewRouter()
-	telemetry.Routes(router, p.metrics, func() error { return ready(bundles) })
-	router.PathPrefix("/v1/").Handler(api)
+	telemetry.Routes(router, p.metrics, func() error { return ready(c.bundles) })
+	router.PathPrefix("/v1/").Handler(operator.New(operator.Config{
+		Store:   store,
+		Source:  c.bundles,
+		View:    c.view,
+		Queues:  queues,
+		Log:     p.log,
+		Metrics: p.metrics,
+	}))
 	return &operators{
 		server: &http.Server{
 			Handler:           router,
@@ -47,30 +57,6 @@
 	}, nil
 }
 
-// operatorAPI returns the handler of the paths for operators.
-func (p *parts) operatorAPI(r kernel.Registry, bundles *bundle.Activator) (http.Handler, error) {
-	store, err := kernel.Get[platformService](r, platformName)
-	if err != nil {
-		return nil, err
-	}
-	view, err := kernel.Get[*membership.Service](r, membershipName)
-	if err != nil {
-		return nil, err
-	}
-	queues, err := kernel.Get[*scheduler.Service](r, schedulerName)
-	if err != nil {
-		return nil, err
-	}
-	return operator.New(operator.Config{
-		Store:   store,
-		Source:  bundles,
-		View:    view,
-		Queues:  queues,
-		Log:     p.log,
-		Metrics: p.metrics,
-	}), nil
-}
-
 func ready(bundles *bundle.Activator) error {
 	if !bundles.Ready() {
 		return errors.New("no bundle version is in force yet")
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,9 +27,15 @@
 	textPath = "/v1/completions"
 )
 
+// errCallerGone means that the caller takes no more of its answer.
+var errCallerGone = errors.New("caller does not receive the answer")
+
 // resumeWait bounds the wait for a slot to resume a stream that was cut.
 const resumeWait = 10 * time.Second
 
+// resumePause is the time until a stream that found no server asks again.
+const resumePause = 100 * time.Millisecond
+
 func (g *Gateway) serveChat(w http.ResponseWriter, req *request) error {
 	return g.serveCompletion(w, req, chatPath)
 }
@@ -81,12 +89,15 @@
 	for n := 1; ; n++ {
 		err := d.attempt(ctx)
 		if err == nil {
-			g.lengths.observe(d.req.class.Name, d.req.customer.Name, d.offset)
+			g.lengths.observe(d.req, d.offset)
 			return nil
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if errors.Is(err, errCallerGone) {
+			return err
+		}
 		if !d.retryable(err, n) {
 			e := d.finalError(err)
 			d.out.abort(e)
@@ -171,10 +182,37 @@
 	spec.Cost = d.gateway.lengths.cost(d.req, d.completion.maxTokens())
 	spec.Prefix = d.completion.prefix
 	spec.Avoid = d.avoid
-	if d.offset > 0 {
-		spec.GiveUp = time.Now().Add(resumeWait)
+	if d.offset == 0 {
+		return d.gateway.acquire(ctx, d.req, spec)
+	}
+	spec.GiveUp = time.Now().Add(resumeWait)
+	for {
+		slot, err := d.gateway.acquire(ctx, d.req, spec)
+		if err == nil || !d.mayFindServer(err) || time.Until(spec.GiveUp) < resumePause {
+			return slot, err
+		}
+		time.Sleep(resumePause)
+	}
+}
+
+// mayFindServer reports whether a refused stream should ask again: no
+// scheduler had a server for it, although one is live that has not failed it.
+// That passes when a stopping daemon's servers have a new scheduler or a silent
+// peer link is replaced.
+func (d *delivery) mayFindServer(err error) bool {
+	var refused *reservation.Refusal
+	if !errors.As(err, &refused) {
+		return false
+	}
+	if refused.Reason != scheduler.ReasonNoServer && refused.Reason != scheduler.ReasonStopping {
+		return false
 	}
-	return d.gateway.acquire(ctx, d.req, spec)
+	for _, s := range d.gateway.cfg.View.Servers(d.pool.Service) {
+		if !s.Leaving && d.pool.Holds(s.Name) && !slices.Contains(d.avoid, s.Name) {
+			return true
+		}
+	}
+	return false
 }
 
 // acquire waits for a slot within a span.
@@ -198,7 +236,7 @@
 	switch {
 	case err == nil:
 		return scheduler.OutcomeOK
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errCallerGone):
 		return scheduler.OutcomeCanceled
 	case errors.Is(err, dispatch.ErrSilent):
 		return scheduler.OutcomeSilent
@@ -238,7 +276,10 @@
 		ev, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			d.gateway.counters.tokens.Inc(int64(d.offset))
-			return d.out.end()
+			if err := d.out.end(); err != nil {
+				return fmt.Errorf("%w: %v", errCallerGone, err)
+			}
+			return nil
 		}
 		if err != nil {
 			return err
@@ -248,8 +289,8 @@
 			d.gateway.counters.observe(d.req.class.Name, time.Since(d.req.arrived), d.req.firstTokenTarget())
 		}
 		if err := d.out.event(ev); err != nil {
-			d.gateway.counters.wasted.Inc(int64(d.offset))
-			return err
+			d.gateway.counters.wasted.Inc(int64(stream.Offset()))
+			return fmt.Errorf("%w: %v", errCallerGone, err)
 		}
 		d.offset = stream.Offset()
 		d.text.WriteString(ev.Chunk.Text())
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,6 +35,8 @@
 	servers  []membership.Server
 	reported []string
 	changed  chan struct{}
+	// alone is set while no scheduler is live.
+	alone bool
 }
 
 func (v *fakeView) Self() membership.Daemon { return membership.Daemon{Name: "g"} }
@@ -43,7 +45,22 @@
 	return []membership.Daemon{{Name: "g", State: membership.Alive}, {Name: "s", State: membership.Alive}}
 }
 
-func (v *fakeView) Schedulers() []string { return []string{"s"} }
+func (v *fakeView) Schedulers() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.alone {
+		return nil
+	}
+	return []string{"s"}
+}
+
+func (v *fakeView) setAlone(alone bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.alone = alone
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
 
 func (v *fakeView) Servers(service string) []membership.Server {
 	v.mu.Lock()
@@ -100,6 +117,9 @@
 	engines map[string]*engine.Engine
 	ledger  *plain.Server
 	metrics metrics.Registry
+
+	gateway      *Gateway
+	reservations *reservation.Manager
 }
 
 func testBundle() *bundle.Active {
@@ -161,21 +181,22 @@
 	claimer := claims.New(claims.Config{Store: h.store, Owner: "g/1", Log: quiet, Metrics: h.metrics})
 	assert.NilError(h.t, claimer.Start(context.Background()))
 	h.t.Cleanup(func() { assert.NilError(h.t, claimer.Stop(context.Background())) })
-	g := New(Config{
-		Bundles: bundles,
-		View:    h.view,
-		Reservations: reservation.NewManager(reservation.Config{
-			Bus: network.Bus("g"), View: h.view, Bundles: bundles, Count: 3, Seed: 1, Metrics: h.metrics,
-		}),
-		Backends: dispatch.New(dispatch.Config{Silence: 5 * time.Second, Metrics: h.metrics}),
-		Claims:   claimer,
-		Limits:   settings.Callers{MaxBodyBytes: 1 << 16, ReadTimeoutMs: 5000},
-		Entries:  http.NotFoundHandler(),
-		Log:      quiet,
-		Metrics:  h.metrics,
-		Tracer:   noop.NewTracerProvider().Tracer(""),
+	h.reservations = reservation.NewManager(reservation.Config{
+		Bus: network.Bus("g"), View: h.view, Bundles: bundles, Count: 3, Seed: 1, Metrics: h.metrics,
+	})
+	h.gateway = New(Config{
+		Bundles:      bundles,
+		View:         h.view,
+		Reservations: h.reservations,
+		Backends:     dispatch.New(dispatch.Config{Silence: 2 * time.Second, Metrics: h.metrics}),
+		Claims:       claimer,
+		Limits:       settings.Callers{MaxBodyBytes: 1 << 16, ReadTimeoutMs: 5000},
+		Entries:      http.NotFoundHandler(),
+		Log:          quiet,
+		Metrics:      h.metrics,
+		Tracer:       noop.NewTracerProvider().Tracer(""),
 	})
-	s := httptest.NewServer(g.Handler())
+	s := httptest.NewServer(h.gateway.Handler())
 	h.t.Cleanup(s.Close)
 	h.url = s.URL
 }
--- a/policy/grant.go
+++ b/policy/grant.go
@@ -172,6 +172,8 @@
 	Observation Observation
 	// Allowance is set if the slot was granted out of tier order.
 	Allowance bool
+	// Canceled is set if the work was ended early by the caller.
+	Canceled bool
 }
 
 // Observe learns from a finished request.
@@ -179,6 +181,9 @@
 	if f.Allowance {
 		p.allowance.Charge(f.Took - p.load.Service())
 	}
+	if f.Canceled {
+		return
+	}
 	if !f.Observation.Failed {
 		p.load.Finished(f.Took, f.Cost)
 	}
@@ -206,3 +211,16 @@
 	}
 	return Reference(p.gaps, target.TokenGap)
 }
+
+// Overdue reports whether a running request takes far longer than its cost
+// explains.
+func (p *Pool) Overdue(age time.Duration, cost uint32) bool { return p.load.Overdue(age, cost) }
+
+// Suspect isolates a server on which too many of the running requests are
+// overdue, before they finish and tell its speed.
+func (p *Pool) Suspect(now time.Time, server string, overdue int) {
+	s := p.Server(server)
+	if s != nil && overdue >= minOverdue && 2*overdue >= s.used {
+		s.Health.Suspect(now)
+	}
+}
