--- a/bundle/check.go
+++ b/bundle/check.go
@@ -17,6 +17,9 @@
 	maxTargetMs       = 24 * 60 * 60 * 1000
 	maxRetentionHours = 366 * 24
 	maxModelName      = 128
+	maxPatternBytes   = 64
+	// maxPatterns bounds the patterns that are compared with each other.
+	maxPatterns = 1000
 )
 
 var (
@@ -147,10 +150,14 @@
 func (c *checker) patterns(field, holder string, patterns []string, seen []place) []place {
 	for i, p := range patterns {
 		at := fmt.Sprintf("%s[%d]", field, i)
-		if _, err := path.Match(p, ""); err != nil || p == "" {
-			c.report(at, "%q is not a valid pattern", p)
+		if _, err := path.Match(p, ""); err != nil || p == "" || len(p) > maxPatternBytes {
+			c.report(at, "%q is not a valid pattern of 1 to %d bytes", p, maxPatternBytes)
 			continue
 		}
+		if len(seen) == maxPatterns {
+			c.report(at, "more than %d patterns", maxPatterns)
+			return seen
+		}
 		for _, s := range seen {
 			if s.owner != holder && overlap(s.pattern, p) {
 				c.report(at, "pattern %q overlaps with %q of %q at %s", p, s.pattern, s.owner, s.field)
--- a/bundle/parse_test.go
+++ b/bundle/parse_test.go
@@ -85,6 +85,11 @@
 		{"owners[0].share", "not between", func(b *Bundle) { b.Owners[0].Share = 1.1 }},
 		{"owners[0].servers", "no servers", func(b *Bundle) { b.Owners[0].Servers = nil }},
 		{"owners[0].servers[0]", "valid pattern", func(b *Bundle) { b.Owners[0].Servers[0] = "[" }},
+		{"owners[0].servers[1000]", "more than 1000 patterns", func(b *Bundle) {
+			b.Owners[0].Servers = slices.Repeat([]string{"n-*"}, 1001)
+			b.Owners = b.Owners[:1]
+		}},
+		{"owners[0].servers[0]", "valid pattern", func(b *Bundle) { b.Owners[0].Servers[0] = strings.Repeat("n", 65) }},
 		{"owners[1].servers[0]", "overlaps", func(b *Bundle) { b.Owners[1].Servers[0] = "*-1" }},
 		{"services[1].kind", "neither", func(b *Bundle) { b.Services[1].Kind = "other" }},
 		{"services[1].safe_methods[0]", "upper case", func(b *Bundle) { b.Services[1].SafeMethods[0] = "get" }},
--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -216,10 +216,12 @@
 	p := platformtest.New()
 	s := NewStore(p)
 	const rolls = KeptVersions + 20
+	_, err := s.Propose(t.Context(), Change{ID: "abandoned", Content: variant(t, 1)}, "ana")
+	assert.NilError(t, err)
 	for i := range rolls {
 		mustRoll(t, s, fmt.Sprint("change-", i+1), uint64(i), variant(t, i))
 	}
-	assert.Equal(t, len(p.Snapshot()), 2*KeptVersions+1)
+	assert.Equal(t, len(p.Snapshot()), 2*KeptVersions+2)
 	history, err := s.History(t.Context(), rolls)
 	assert.NilError(t, err)
 	assert.Equal(t, len(history), KeptVersions)
@@ -228,6 +230,13 @@
 	at, err := s.Roll(t.Context(), "change-30", "ana")
 	assert.NilError(t, err)
 	assert.Equal(t, at.Version, uint64(30))
+
+	for i := rolls; i < KeptVersions+sweepEvery; i++ {
+		mustRoll(t, s, fmt.Sprint("change-", i+1), uint64(i), variant(t, i))
+	}
+	_, err = s.Proposal(t.Context(), "abandoned")
+	assert.ErrorIs(t, err, ErrChangeNotFound)
+	assert.Equal(t, len(p.Snapshot()), 2*KeptVersions+1)
 }
 
 // The change took effect, another was rolled over it, and the store fails
