Tell two lives of a daemon apart however short the first was

Cause: claims of a daemon that was killed within a second of its start, and restarted, stayed in progress for as long as the new life ran: the owner counted as alive while the incarnation in the membership was less than 1000 above the life's start in milliseconds. Seen in the process proofs: repeats of two postings got in-progress for 60 s. Excluded: the claims protocol (it asks only whether the owner is alive) and the membership (it showed the new incarnation). Change: an incarnation holds the start in milliseconds above 16 bits for refutations within a life. Figures: the new test failed before for a restart one millisecond later and passes now.

--- a/daemon/modules.go
+++ b/daemon/modules.go
@@ -149,7 +149,7 @@
 	m, err := membership.New(membership.Config{
 		Self: membership.Daemon{
 			Name:        s.Name,
-			Incarnation: p.started,
+			Incarnation: firstIncarnation(p.started),
 			Region:      s.Region,
 			Domain:      s.Domain,
 			PeerAddr:    firstOf(s.Advertise.Peers, s.Listen.Peers),
--- a/daemon/owners.go
+++ b/daemon/owners.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// maxRefutations bounds how often a daemon raises its incarnation within
-	// one life, in refutations. A restart raises it to the wall clock, which is
-	// further ahead.
-	maxRefutations = 1000
+	// refutationBits is the number of low bits of an incarnation that count
+	// how often the daemon refuted, within one life, that it failed. The bits
+	// above hold the wall clock at the start, in milliseconds.
+	refutationBits = 16
 	// defaultRetention is used while no bundle is in force.
 	defaultRetention = 24 * time.Hour
 )
@@ -30,6 +30,10 @@
 	return name + "/" + strconv.FormatUint(started, 10)
 }
 
+// firstIncarnation returns the incarnation that a life of a daemon begins
+// with. Raising it within the life never reaches that of a later one.
+func firstIncarnation(started uint64) uint64 { return started << refutationBits }
+
 // alive reports whether the life of a daemon that an owner name stands for may
 // still run.
 func (o owners) alive(owner string) bool {
@@ -40,7 +44,7 @@
 	}
 	for _, d := range o.view.Daemons() {
 		if d.Name == name {
-			return d.Incarnation < started+maxRefutations
+			return d.Incarnation>>refutationBits <= started
 		}
 	}
 	return false
--- /dev/null
+++ b/daemon/owners_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/membership"
+)
+
+// oneDaemon is a view of a single daemon.
+type oneDaemon struct {
+	membership.View
+	incarnation uint64
+}
+
+func (v oneDaemon) Daemons() []membership.Daemon {
+	return []membership.Daemon{{Name: "d1", Incarnation: v.incarnation}}
+}
+
+func TestOwnerIsAliveForOneLifeOfItsDaemon(t *testing.T) {
+	const started = 1_900_000_000_000
+	owner := ownerName("d1", started)
+	for _, c := range []struct {
+		name        string
+		incarnation uint64
+		want        bool
+	}{
+		{"as started", firstIncarnation(started), true},
+		{"after refuting that it failed", firstIncarnation(started) + 5, true},
+		{"before the view knows of this life", firstIncarnation(started - 50), true},
+		{"restarted a millisecond later", firstIncarnation(started + 1), false},
+		{"restarted an hour later", firstIncarnation(started + 3_600_000), false},
+	} {
+		o := owners{view: oneDaemon{incarnation: c.incarnation}}
+		assert.Equal(t, o.alive(owner), c.want, c.name)
+	}
+	o := owners{view: oneDaemon{incarnation: firstIncarnation(started)}}
+	assert.Assert(t, !o.alive(ownerName("d2", started)), "not listed")
+	assert.Assert(t, !o.alive("d1"), "malformed")
+}
