Prove what must always hold across processes

Cause: the checks of the parts do not show that the whole holds under kills, pauses, stops, silent connections and store faults of real processes.

--- a/internal/proof/check.go
+++ b/internal/proof/check.go
@@ -73,7 +73,8 @@
 			}
 		}
 		if !ended {
-			found = append(found, Violation{OwnAnswer, call + " never ended", group})
+			last := group[len(group)-1]
+			found = append(found, Violation{OwnAnswer, call + " never ended", []Event{want, last}})
 		}
 	}
 	return found
--- /dev/null
+++ b/test/deploy_test.go
@@ -0,0 +1,289 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/internal/standin/engine"
+	"github.com/jacinththread/jacinththread/internal/standin/plain"
+	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
+	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/settings"
+)
+
+const (
+	llmService    = "pembantu-llm"
+	postService   = "permohonan-app"
+	daemonService = "jacinththread"
+	model         = "pembantu-1"
+	callerToken   = "caller-token"
+	region        = "utara"
+	peerKey       = "00112233445566778899aabbccddeeff"
+
+	// entryTTL is how long callers may keep an address.
+	entryTTL = time.Second
+	// silence is the longest wait for progress.
+	silence = 1500 * time.Millisecond
+	// readyBound is how long a deployment may take to be ready, on a busy
+	// machine.
+	readyBound = 60 * time.Second
+)
+
+var domains = []string{"prai", "bukit-tengah", "butterworth"}
+
+// backend is one backend server of a deployment.
+type backend struct {
+	name    string
+	service string
+	addr    string
+	relay   *relay
+	leaving bool
+}
+
+// daemon is one daemon of a deployment. Its process is replaced when it is
+// started again.
+type daemon struct {
+	name      string
+	domain    string
+	callers   string
+	peers     string
+	operators string
+	relay     *relay
+	config    string
+	proc      *process
+}
+
+// deployment is a whole system on loopback addresses.
+type deployment struct {
+	t        *testing.T
+	platform string
+	daemons  []*daemon
+	engines  []*backend
+	plains   []*backend
+}
+
+// freeAddr returns a loopback address that nobody listens on now.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, platform: freeAddr(t)}
+	startProcess(t, "platform", "standin", "platform", "--listen", d.platform)
+	for i := range 4 {
+		d.engines = append(d.engines, d.startBackend(llmService, fmt.Sprintf("llm-%c%d", "ab"[i%2], i), "engine"))
+	}
+	for i := range 2 {
+		d.plains = append(d.plains, d.startBackend(postService, fmt.Sprintf("app-%d", i), "plain"))
+	}
+	for i, domain := range domains {
+		d.daemons = append(d.daemons, d.plan(fmt.Sprintf("entry-%d", i), domain))
+	}
+	d.await("platform", func() bool { return d.get("http://"+d.platform+"/v1/hosts", nil) == nil })
+	d.setHosts()
+	d.rollBundle()
+	for _, m := range d.daemons {
+		m.config = d.writeSettings(m)
+		d.start(m)
+	}
+	for _, m := range d.daemons {
+		d.awaitReady(m)
+	}
+	if t.Failed() {
+		t.FailNow()
+	}
+	return d
+}
+
+func (d *deployment) startBackend(service, name, kind string) *backend {
+	b := &backend{name: name, service: service, addr: freeAddr(d.t)}
+	startProcess(d.t, name, "standin", kind, "--listen", b.addr, "--name", name)
+	b.relay = startRelay(d.t, b.addr)
+	return b
+}
+
+func (d *deployment) plan(name, domain string) *daemon {
+	m := &daemon{name: name, domain: domain, callers: freeAddr(d.t), peers: freeAddr(d.t), operators: freeAddr(d.t)}
+	m.relay = startRelay(d.t, m.peers)
+	return m
+}
+
+// start starts a daemon's process, the first or a later one at its addresses.
+func (d *deployment) start(m *daemon) {
+	m.proc = startProcess(d.t, m.name, "jacinththreadd", "--settings", m.config)
+}
+
+func (d *deployment) awaitReady(m *daemon) {
+	d.await(m.name, func() bool {
+		return m.proc.ended() || d.get("http://"+m.operators+"/readyz", nil) == nil
+	})
+	if m.proc.ended() {
+		d.t.Errorf("%s ended at its start", m.name)
+	}
+}
+
+// await polls until a condition holds. The test fails after readyBound.
+func (d *deployment) await(what string, ready func() bool) {
+	d.t.Helper()
+	for end := time.Now().Add(readyBound); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ready() {
+			return
+		}
+	}
+	d.t.Errorf("%s is not ready after %s", what, readyBound)
+}
+
+func (d *deployment) writeSettings(m *daemon) string {
+	s := settings.Defaults()
+	s.Name, s.Region, s.Domain = m.name, region, m.domain
+	s.Listen = settings.Listen{Callers: m.callers, Peers: m.peers, Operators: m.operators}
+	s.Advertise.Peers = m.relay.addr()
+	s.Platform.URL = "http://" + d.platform
+	s.Platform.DaemonService = daemonService
+	s.Peers.Keys = []string{peerKey}
+	for _, o := range d.daemons {
+		s.Peers.Seeds = append(s.Peers.Seeds, settings.Seed{Name: o.name, Addr: o.relay.addr()})
+	}
+	s.Callers.EntryTTLMs = int(entryTTL.Milliseconds())
+	s.Routing.SilenceMs = int(silence.Milliseconds())
+	s.Telemetry.SampleRatio = 0
+	content, err := json.Marshal(s)
+	assert.NilError(d.t, err)
+	return writeFile(d.t, m.name+".jsonc", content)
+}
+
+// setHosts publishes the host list.
+func (d *deployment) setHosts() {
+	hosts := []platform.Host{}
+	for _, m := range d.daemons {
+		hosts = append(hosts, platform.Host{Name: m.name, Addr: m.relay.addr(), Service: daemonService, Region: region, Domain: m.domain, State: platform.HostLive})
+	}
+	for i, b := range d.backends() {
+		h := platform.Host{Name: b.name, Addr: b.relay.addr(), Service: b.service, Region: region, Domain: domains[i%len(domains)], State: platform.HostLive}
+		if b.leaving {
+			h.State = platform.HostLeaving
+		}
+		hosts = append(hosts, h)
+	}
+	d.post("http://"+d.platform+"/admin/hosts", hosts)
+}
+
+func (d *deployment) backends() []*backend {
+	return append(append([]*backend{}, d.engines...), d.plains...)
+}
+
+// platformFaults replaces the platform's faults.
+func (d *deployment) platformFaults(f standinplatform.Faults) {
+	d.post("http://"+d.platform+"/admin/faults", f)
+}
+
+// pace sets how long backend servers take, so that work is in flight when a
+// fault comes.
+func (d *deployment) pace(call, tokenGap time.Duration) {
+	callMs, gapMs := int(call.Milliseconds()), int(tokenGap.Milliseconds())
+	for _, b := range d.plains {
+		d.post("http://"+b.addr+"/admin/faults", plain.Faults{DelayMs: &callMs})
+	}
+	for _, b := range d.engines {
+		d.post("http://"+b.addr+"/admin/faults", engine.Faults{TokenGapMs: &gapMs})
+	}
+}
+
+func (d *deployment) post(url string, body any) {
+	d.t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(d.t, err)
+	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+	assert.NilError(d.t, err)
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	assert.Equal(d.t, resp.StatusCode, http.StatusNoContent, "%s: %s", url, text)
+}
+
+// get reads a JSON document, or only the status if into is nil.
+func (d *deployment) get(url string, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", url, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// rollBundle puts the first bundle version in force.
+func (d *deployment) rollBundle() {
+	kv, err := httpstore.New("http://"+d.platform, 5*time.Second)
+	assert.NilError(d.t, err)
+	content, err := json.Marshal(proofBundle())
+	assert.NilError(d.t, err)
+	ctx, store := d.t.Context(), bundle.NewStore(kv)
+	p, err := store.Propose(ctx, bundle.Change{ID: "first", Content: string(content)}, "ana")
+	assert.NilError(d.t, err)
+	_, err = store.Approve(ctx, "first", p.Digest, "ben")
+	assert.NilError(d.t, err)
+	_, err = store.Roll(ctx, "first", "ben")
+	assert.NilError(d.t, err)
+}
+
+// proofBundle has targets so wide that nothing is refused for being late.
+func proofBundle() *bundle.Bundle {
+	const wide = 60_000
+	class := func(name string, tier int) bundle.Class {
+		return bundle.Class{
+			Name: name, Tier: tier, FirstTokenMs: wide, TokenGapMs: wide, Promise: 0.95,
+			StarvationMs: wide, OnMiss: bundle.ServeLate, RetryBudget: 1,
+		}
+	}
+	return &bundle.Bundle{
+		Classes: []bundle.Class{class("counter", 0), class("review", 4)},
+		Customers: []bundle.Customer{{
+			Name: "utility", TokenDigests: []string{bundle.TokenDigest(callerToken)}, Weight: 1,
+			Owner: "utility", Classes: []string{"counter", "review"},
+		}},
+		Owners: []bundle.Owner{
+			{Name: "utility", Servers: []string{"llm-a*", "app-*"}, Share: 0.8},
+			{Name: "neighbour", Servers: []string{"llm-b*"}, Share: 0.5},
+		},
+		Services: []bundle.Service{
+			{Name: llmService, Kind: bundle.Engine, Repeatable: true},
+			{Name: postService, Kind: bundle.Plain, SafeMethods: []string{"GET"}},
+		},
+		Pools: []bundle.Pool{
+			{Name: "llm", Service: llmService, Models: []string{model}, Slots: 4, MaxSlots: 16},
+			{Name: "app", Service: postService, Slots: 8, MaxSlots: 8},
+		},
+		Operators: []bundle.Operator{
+			{Name: "ana", TokenDigests: []string{bundle.TokenDigest("ana-token")}},
+			{Name: "ben", TokenDigests: []string{bundle.TokenDigest("ben-token")}},
+		},
+		RetentionHours: 24,
+	}
+}
