Do not delay the probe of a server for failures from before its isolation

Cause: when connections to a server fall silent, all that ran over them fails within milliseconds. The first two failures isolate the server, and each further one doubled the pause before its first probe, up to 30 s: after one silence of all connections no server took work for tens of seconds while callers waited. Excluded: the silence limit (1.5 s) and the claims. Change: a failure counts against an isolated server only if its request was sent after the isolation.

--- a/policy/grant.go
+++ b/policy/grant.go
@@ -194,6 +194,7 @@
 	if clock := p.classes[f.Class]; clock != nil {
 		f.Observation.Target = clock.spec.Target
 	}
+	f.Observation.Started = now.Add(-f.Took)
 	s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
 	if s.Health.State() == Healthy {
 		s.Slots.Observe(now, f.Observation)
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -36,6 +36,8 @@
 	Target   Target
 	// Failed is set when the server broke the request or fell silent.
 	Failed bool
+	// Started is when the request was sent; zero if unknown.
+	Started time.Time
 }
 
 // Misses reports whether the request missed one of its targets.
--- a/policy/straggler.go
+++ b/policy/straggler.go
@@ -59,6 +59,7 @@
 	width    int
 	interval time.Duration
 	next     time.Time
+	isolated time.Time
 }
 
 // State returns the present state.
@@ -88,7 +89,10 @@
 // of a sound server; zero means unknown.
 func (h *Health) Observe(now time.Time, o Observation, reference time.Duration) {
 	if o.Failed {
-		h.fail(now)
+		// What was sent before the isolation is no probe.
+		if o.Started.IsZero() || !o.Started.Before(h.isolated) {
+			h.fail(now)
+		}
 		return
 	}
 	h.failures = 0
@@ -140,6 +144,7 @@
 	h.good = 0
 	h.interval = min(max(2*h.interval, minProbeInterval), maxProbeInterval)
 	h.next = now.Add(h.interval)
+	h.isolated = now
 }
 
 // step moves a probed or returning server on after a finished request.
