--- a/policy/slots.go
+++ b/policy/slots.go
@@ -41,6 +41,8 @@
 	Target   Target
 	// Failed is set when the server broke the request or fell silent.
 	Failed bool
+	// Started is when the request was sent; zero if unknown.
+	Started time.Time
 }
 
 // Strained reports whether the server failed the request, used more than its
