Let a server use more of the token gap and measure more choices

The gap takes no part in the wait, so it now has a headroom of its own, 0.92; the first token keeps 0.85.

Options that turn the starvation allowance and straggler handling off (policy.Disabled, scheduler.Config.Disabled) are there for the measurement only.

--- a/policy/grant.go
+++ b/policy/grant.go
@@ -58,6 +58,9 @@
 // while another waits for its first. A class of the highest waiting tier needs
 // no allowance.
 func (p *Pool) dueClass(now time.Time) string {
+	if p.spec.Disabled.Allowance {
+		return ""
+	}
 	top := p.highestWaiting()
 	var due *classClock
 	most := -1.0
@@ -194,7 +197,9 @@
 	if clock := p.classes[f.Class]; clock != nil {
 		f.Observation.Target = clock.spec.Target
 	}
-	s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
+	if !p.spec.Disabled.Stragglers {
+		s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
+	}
 	if s.Health.State() == Healthy {
 		f.Observation.Target.TokenGap = p.strictestGap
 		s.Slots.Observe(now, f.Observation)
@@ -221,7 +226,7 @@
 // overdue, before they finish and tell its speed.
 func (p *Pool) Suspect(now time.Time, server string, overdue int) {
 	s := p.Server(server)
-	if s != nil && overdue >= minOverdue && 2*overdue >= s.used {
+	if s != nil && !p.spec.Disabled.Stragglers && overdue >= minOverdue && 2*overdue >= s.used {
 		s.Health.Suspect(now)
 	}
 }
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -21,6 +21,14 @@
 	RefuseLate bool
 }
 
+// Disabled turns single choices of the policy off, to measure what they do.
+type Disabled struct {
+	// Allowance keeps the tiers strict even if a class starves.
+	Allowance bool
+	// Stragglers treats slow and failing servers as sound.
+	Stragglers bool
+}
+
 // PoolSpec describes a pool of interchangeable servers.
 type PoolSpec struct {
 	// Limit bounds the waiting reservations, beyond one of each class.
@@ -31,7 +39,8 @@
 	MaxSlots int
 	Classes  []ClassSpec
 	// Owners holds the share of its servers' slots that an owner may claim.
-	Owners map[string]float64
+	Owners   map[string]float64
+	Disabled Disabled
 }
 
 // Refusal tells why a reservation was refused.
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -11,10 +11,12 @@
 // the pool's strictest token gap, because all share the batch.
 
 const (
-	// slotHeadroom is the part of a target that the server itself may use.
-	slotHeadroom  = 0.85
-	slotsDecrease = 0.9
-	slotsIncrease = 1.0
+	// firstTokenHeadroom and gapHeadroom are the parts of the targets that the
+	// server itself may use.
+	firstTokenHeadroom = 0.85
+	gapHeadroom        = 0.92
+	slotsDecrease      = 0.9
+	slotsIncrease      = 1.0
 	// minSlotWindow is the least number of finished requests judged together.
 	minSlotWindow = 8
 	// minSlotPeriod is the least time between two changes.
@@ -45,11 +47,13 @@
 // Strained reports whether the server failed the request or used more than
 // its part of a target.
 func (o Observation) Strained() bool {
-	return o.Failed || exceeds(o.FirstToken, o.Target.FirstToken) || exceeds(o.TokenGap, o.Target.TokenGap)
+	return o.Failed ||
+		exceeds(o.FirstToken, o.Target.FirstToken, firstTokenHeadroom) ||
+		exceeds(o.TokenGap, o.Target.TokenGap, gapHeadroom)
 }
 
-func exceeds(d, target time.Duration) bool {
-	return target > 0 && float64(d) > slotHeadroom*float64(target)
+func exceeds(d, target time.Duration, part float64) bool {
+	return target > 0 && float64(d) > part*float64(target)
 }
 
 // Slots is the adaptive number of concurrent requests of one server.
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -82,6 +82,7 @@
 		Slots:    max(1, b.Slots),
 		MaxSlots: max(b.Slots, b.MaxSlots),
 		Owners:   map[string]float64{},
+		Disabled: s.cfg.Disabled,
 	}
 	for _, o := range s.active.Bundle.Owners {
 		spec.Owners[o.Name] = o.Share
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -44,6 +44,8 @@
 	// Tracer records a span for each grant of a sampled request; nil records
 	// none.
 	Tracer trace.Tracer
+	// Disabled turns choices of the policy off, for measurements.
+	Disabled policy.Disabled
 	// Observe receives each decision, if set. It is called under the service's
 	// lock and must not block.
 	Observe func(Event)
--- a/test/measure/ablation.go
+++ b/test/measure/ablation.go
@@ -21,5 +21,7 @@
 		change("no-affinity", func(v *variant) { v.noAffinity = true }, loaded...),
 		change("fixed-slots", func(v *variant) { v.fixedSlots = true }, "steady", "burst-lowest", "straggler"),
 		change("no-resume", func(v *variant) { v.noResume = true }, "crash", "silent"),
+		change("no-allowance", func(v *variant) { v.disabled.Allowance = true }, "burst-middle", "overload"),
+		change("no-stragglers", func(v *variant) { v.disabled.Stragglers = true }, "straggler", "crash"),
 	}
 }
