--- a/policy/express.go
+++ b/policy/express.go
@@ -16,7 +16,7 @@
 // surveyExpress finds the servers that may take a request of the highest
 // waiting tier beyond their slots.
 func (p *Pool) surveyExpress(now time.Time) {
-	if !p.spec.Batches {
+	if !p.spec.Batches || p.spec.Disabled.Express {
 		return
 	}
 	top := p.highestWaiting()
--- a/policy/grant.go
+++ b/policy/grant.go
@@ -61,7 +61,7 @@
 // while another waits for its first. A class of the highest waiting tier needs
 // no allowance.
 func (p *Pool) dueClass(now time.Time) string {
-	if !p.allowance.Ready(now, p.slots) {
+	if p.spec.Disabled.Allowance || !p.allowance.Ready(now, p.slots) {
 		return ""
 	}
 	top := p.highestWaiting()
@@ -207,7 +207,9 @@
 		f.Observation.Target = clock.spec.Target
 	}
 	f.Observation.Started = now.Add(-f.Took)
-	s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
+	if !p.spec.Disabled.Stragglers {
+		s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
+	}
 	if s.Health.State() == Healthy {
 		f.Observation.Target.TokenGap = p.strictestGap
 		s.Slots.Observe(now, f.Observation)
@@ -234,7 +236,7 @@
 // overdue, before they finish and tell its speed.
 func (p *Pool) Suspect(now time.Time, server string, overdue int) {
 	s := p.Server(server)
-	if s != nil && overdue >= minOverdue && 2*overdue >= s.used {
+	if s != nil && !p.spec.Disabled.Stragglers && overdue >= minOverdue && 2*overdue >= s.used {
 		s.Health.Suspect(now)
 	}
 }
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -11,11 +11,12 @@
 // the pool's strictest token gap, because all share the batch.
 
 const (
-	// slotHeadroom is the part of the target for the first token that the server
-	// itself may use; the wait for a slot needs the rest.
-	slotHeadroom  = 0.85
-	slotsDecrease = 0.9
-	slotsIncrease = 1.0
+	// firstTokenHeadroom and gapHeadroom are the parts of the targets that the
+	// server itself may use.
+	firstTokenHeadroom = 0.85
+	gapHeadroom        = 0.92
+	slotsDecrease      = 0.9
+	slotsIncrease      = 1.0
 	// minSlotWindow is the least number of finished requests judged together.
 	minSlotWindow = 8
 	// minSlotPeriod is the least time between two changes.
@@ -46,17 +47,15 @@
 }
 
 // Strained reports whether the server failed the request, used more than its
-// part of the target for the first token, or missed the one for the token gap.
+// part of the target for the first token, or of the one for the token gap.
 func (o Observation) Strained() bool {
-	slow := o.Target.TokenGap > 0 && o.TokenGap > o.Target.TokenGap
-	return o.Failed || slow || o.lateStart()
+	return o.Failed ||
+		exceeds(o.FirstToken, o.Target.FirstToken, firstTokenHeadroom) ||
+		exceeds(o.TokenGap, o.Target.TokenGap, gapHeadroom)
 }
 
-// lateStart reports whether the first token left too little of its target for
-// the wait before the dispatch.
-func (o Observation) lateStart() bool {
-	target := float64(o.Target.FirstToken)
-	return target > 0 && float64(o.FirstToken) > slotHeadroom*target
+func exceeds(d, target time.Duration, part float64) bool {
+	return target > 0 && float64(d) > part*float64(target)
 }
 
 // Slots is the adaptive number of concurrent requests of one server.
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -82,6 +82,7 @@
 		Slots:    max(1, b.Slots),
 		MaxSlots: max(b.Slots, b.MaxSlots),
 		Owners:   map[string]float64{},
+		Disabled: s.cfg.Disabled,
 	}
 	if service := s.active.Service(b.Service); service != nil {
 		spec.Batches = service.Kind == bundle.Engine
--- a/test/measure/ablation.go
+++ b/test/measure/ablation.go
@@ -20,6 +20,9 @@
 		change("d=4", func(v *variant) { v.count = 4 }, loaded...),
 		change("no-affinity", func(v *variant) { v.noAffinity = true }, loaded...),
 		change("growing-slots", func(v *variant) { v.growingSlots = true }, "steady", "burst-lowest", "straggler"),
+		change("no-express", func(v *variant) { v.disabled.Express = true }, "steady", "burst-lowest", "burst-middle"),
 		change("no-resume", func(v *variant) { v.noResume = true }, "crash", "silent"),
+		change("no-allowance", func(v *variant) { v.disabled.Allowance = true }, "burst-middle", "overload"),
+		change("no-stragglers", func(v *variant) { v.disabled.Stragglers = true }, "straggler", "crash"),
 	}
 }
