Compare the membership with a model after random faults

Random sequences of crashes, replacements, pauses, one-way cuts, lost and doubled messages, host list outages and changes of servers, in virtual time; afterwards all daemons must show the running daemons and the listed servers.

--- /dev/null
+++ b/membership/chaos_test.go
@@ -0,0 +1,186 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/platform"
+)
+
+const (
+	chaosSeeds   = 8
+	chaosSteps   = 40
+	chaosDaemons = 7
+	chaosServers = 8
+	// convergeLimit bounds the time to agreement after the last fault: the hold
+	// of leaving servers, and the way back of daemons that all count as dead.
+	convergeLimit = 2 * time.Minute
+)
+
+// chaos applies random faults to a cluster and keeps a model of what must be
+// true once they end.
+type chaos struct {
+	*cluster
+	rng    *rand.Rand
+	cuts   [][2]string
+	paused []string
+	down   []string
+	nextIP int
+}
+
+// TestAgreementAfterRandomFaults compares all daemons with the model after
+// random sequences of crashes, replacements, pauses, one-way cuts, lost and
+// doubled messages, host list outages and changes of servers.
+func TestAgreementAfterRandomFaults(t *testing.T) {
+	for seed := range uint64(chaosSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := &chaos{cluster: newCluster(t, chaosDaemons, chaosServers), rng: rand.New(rand.NewPCG(seed, 1))}
+				defer x.stop()
+				for range chaosSteps {
+					x.step()
+					x.settle(time.Duration(x.rng.IntN(8000)) * time.Millisecond)
+				}
+				x.endFaults()
+				x.waitFor(convergeLimit, "agreement on daemons", x.allAlive)
+				x.waitFor(convergeLimit, "agreement on servers", x.serversMatch)
+			})
+		})
+	}
+}
+
+func (x *chaos) name() string { return fmt.Sprintf("entry-%03d", x.rng.IntN(chaosDaemons)) }
+
+// step applies one random fault or ends one.
+func (x *chaos) step() {
+	switch x.rng.IntN(10) {
+	case 0:
+		x.crash()
+	case 1, 2:
+		x.replace()
+	case 3:
+		x.cut()
+	case 4:
+		x.heal()
+	case 5:
+		x.pause()
+	case 6:
+		x.resume()
+	case 7:
+		x.net.SetLoss(0.2*x.rng.Float64(), 0.1)
+	case 8:
+		x.list.set(func(l *hostList) { l.down = !l.down })
+	case 9:
+		x.changeServer()
+	}
+}
+
+// crash kills a daemon unless too few are left.
+func (x *chaos) crash() {
+	name := x.name()
+	if x.services[name] == nil || len(x.services) <= 3 {
+		return
+	}
+	x.kill(name)
+	x.down = append(x.down, name)
+	x.paused = slices.DeleteFunc(x.paused, func(n string) bool { return n == name })
+}
+
+func (x *chaos) replace() {
+	if len(x.down) == 0 {
+		return
+	}
+	x.start(x.down[0], x.rng.Uint64())
+	x.down = x.down[1:]
+}
+
+func (x *chaos) cut() {
+	from, to := x.name(), x.name()
+	if from != to {
+		x.net.Cut(from, to)
+		x.cuts = append(x.cuts, [2]string{from, to})
+	}
+}
+
+func (x *chaos) heal() {
+	if len(x.cuts) > 0 {
+		x.net.Heal(x.cuts[0][0], x.cuts[0][1])
+		x.cuts = x.cuts[1:]
+	}
+}
+
+func (x *chaos) pause() {
+	name := x.name()
+	if x.services[name] != nil && len(x.paused) < 2 {
+		x.net.Pause(name)
+		x.paused = append(x.paused, name)
+	}
+}
+
+func (x *chaos) resume() {
+	if len(x.paused) > 0 {
+		x.net.Resume(x.paused[0])
+		x.paused = x.paused[1:]
+	}
+}
+
+// changeServer makes a server leave, return, move or report that it leaves.
+func (x *chaos) changeServer() {
+	i := x.rng.IntN(chaosServers)
+	switch x.rng.IntN(4) {
+	case 0:
+		x.list.set(func(l *hostList) { l.hosts[i].State = platform.HostLeaving })
+	case 1:
+		x.list.set(func(l *hostList) { l.hosts[i].State = platform.HostLive })
+	case 2:
+		x.nextIP++
+		x.list.set(func(l *hostList) { l.hosts[i].Addr = fmt.Sprintf("10.0.9.%d:8000", x.nextIP) })
+	case 3:
+		for _, s := range x.services {
+			s.ReportLeaving(serverHost(i).Name)
+			return
+		}
+	}
+}
+
+// endFaults heals everything and restarts what is down.
+func (x *chaos) endFaults() {
+	for len(x.cuts) > 0 {
+		x.heal()
+	}
+	for len(x.paused) > 0 {
+		x.resume()
+	}
+	for len(x.down) > 0 {
+		x.replace()
+	}
+	x.net.SetLoss(0, 0)
+	x.list.set(func(l *hostList) { l.down = false })
+}
+
+// serversMatch reports whether an observer shows what the host list shows.
+func (x *chaos) serversMatch(observer string) bool {
+	for _, h := range x.list.hosts {
+		srv, ok := x.services[observer].Server(h.Name)
+		if !ok || srv.Addr != h.Addr || srv.Leaving != (h.State == platform.HostLeaving) {
+			return false
+		}
+	}
+	return len(x.services[observer].Servers("pembantu-llm")) == len(x.list.hosts)
+}
+
+// TestServerMatchCanFail shows that the comparison sees a wrong server.
+func TestServerMatchCanFail(t *testing.T) {
+	inCluster(t, 3, chaosServers, func(c *cluster) {
+		x := &chaos{cluster: c}
+		assert.Assert(t, x.serversMatch("entry-001"))
+		c.services["entry-001"].ReportLeaving("llm-03")
+		assert.Assert(t, !x.serversMatch("entry-001"))
+	})
+}
