Let the fan-out of urgent updates grow with the logarithm of the fleet

Cause: with a fan-out of four about 2 daemons in 100 are missed by the first wave (e^-4) and learn of a leaving server from a probe up to a second later. Excluded: the change of pollers, since the reads stay at 6 a second.

Change: fan-out of ln n + 3.

--- a/membership/rumours.go
+++ b/membership/rumours.go
@@ -17,9 +17,9 @@
 	piggybackBytes = 500
 	// urgentBytes bounds the updates in one urgent message.
 	urgentBytes = 1000
-	// urgentFanout is the number of daemons that get an urgent update from each
-	// daemon that learns it.
-	urgentFanout = 4
+	// urgentMargin makes it unlikely that an urgent update misses any daemon:
+	// with a fan-out of ln n + c, one of n is missed with a probability of e^-c.
+	urgentMargin = 3
 	// urgentDelay gathers urgent updates into one message.
 	urgentDelay = 10 * time.Millisecond
 	// samplesPerMessage is the number of load samples in a probe message.
@@ -49,7 +49,7 @@
 	s.rumours = append(s.rumours, rumour{key: k, since: s.now()})
 }
 
-// spreadNow also sends it at once to a few daemons, which do the same when
+// spreadNow also sends it at once to some random daemons, which do the same when
 // they learn it.
 func (s *Service) spreadNow(k key) {
 	s.spread(k)
@@ -75,7 +75,7 @@
 	for len(s.urgent) > 0 && s.addUpdate(&u, s.urgent[0], &room) {
 		s.urgent = s.urgent[1:]
 	}
-	for _, name := range s.randomPeers(urgentFanout) {
+	for _, name := range s.randomPeers(urgentFanout(s.liveCount())) {
 		s.metrics.urgentSent.Inc(1)
 		s.send(name, &gossip{Updates: u})
 	}
@@ -85,6 +85,12 @@
 	}
 }
 
+// urgentFanout is the number of daemons that get an urgent update from each of
+// n daemons that learns it.
+func urgentFanout(n int) int {
+	return urgentMargin + int(math.Ceil(math.Log(float64(n))))
+}
+
 // addUpdate adds the current record of a subject. It reports false if the room
 // does not suffice.
 func (s *Service) addUpdate(u *updates, k key, room *int) bool {
--- a/membership/service.go
+++ b/membership/service.go
@@ -142,7 +142,7 @@
 	s.mu.Lock()
 	if s.self.State == Leaving && !s.superseded && !s.stopped {
 		gone := record{Name: s.self.Name, Incarnation: s.self.Incarnation, State: Dead}
-		for _, name := range s.randomPeers(urgentFanout) {
+		for _, name := range s.randomPeers(urgentFanout(s.liveCount())) {
 			s.send(name, &gossip{Updates: updates{Daemons: []record{gone}}})
 		}
 	}
