--- /dev/null
+++ b/peer/metrics_test.go
@@ -0,0 +1,24 @@
+package peer
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+)
+
+// TestOperatorsPageNamesEveryMetric compares the page with the code.
+func TestOperatorsPageNamesEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations/membership.md")
+	assert.NilError(t, err)
+	r := metrics.NewRegistry()
+	newNodeMetrics(r)
+	names := 0
+	r.Each(func(name string, _ any) {
+		names++
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
+	})
+	assert.Assert(t, names > 0)
+}
