Refuse what would miss its first token in time

Cause: requests of classes that refuse late work were granted until their deadline, with no time left to read the prompt; they missed and held slots. Excluded: the order of the queue, which the burst of one class does not touch. Change: such a request is refused once the mean time from dispatch to first token, at most half the target, no longer fits before its deadline.

--- a/policy/adapt_test.go
+++ b/policy/adapt_test.go
@@ -181,3 +181,21 @@
 	assert.Equal(t, RetryAfter(3*time.Second, time.Second), 2*time.Second)
 	assert.Equal(t, RetryAfter(0, time.Second), minRetryAfter)
 }
+
+func TestRequestThatWouldMissItsFirstTokenIsRefused(t *testing.T) {
+	p := NewPool(PoolSpec{Limit: 10, Slots: 1, MaxSlots: 1, Classes: []ClassSpec{
+		{Name: "class-0", Target: chatTarget, Starvation: time.Minute, RefuseLate: true},
+	}})
+	p.SetServers(serverSpecs(1))
+	for range minFirstTokens {
+		p.Observe(epoch, Finished{Server: "s-000", Class: "class-0", Cost: 100, Took: time.Second,
+			Observation: Observation{FirstToken: 600 * time.Millisecond, TokenGap: 40 * time.Millisecond}})
+	}
+	r := res(1, 0, "c", 100)
+	r.Deadline = epoch.Add(chatTarget.FirstToken)
+	assert.Equal(t, p.Reserve(epoch, r).Refusal, NotRefused)
+	p.Expire(epoch.Add(990 * time.Millisecond))
+	assert.Equal(t, p.Queue().Len(), 1)
+	p.Expire(epoch.Add(1010 * time.Millisecond))
+	assert.Equal(t, p.Withdrawn()[0].Refusal, RefusedDeadline)
+}
--- a/policy/allowance.go
+++ b/policy/allowance.go
@@ -51,6 +51,13 @@
 	queue *classQueue
 	// since is when unserved demand began; zero while there is none.
 	since time.Time
+	first firstTokens
+}
+
+// mustStart is when a request with the deadline has to be dispatched to meet
+// it.
+func (c *classClock) mustStart(deadline time.Time) time.Time {
+	return deadline.Add(-c.first.expected(c.spec.Target.FirstToken))
 }
 
 // demand records that a request of the class arrived, even if it is refused.
--- a/policy/grant.go
+++ b/policy/grant.go
@@ -195,6 +195,7 @@
 	}
 	if clock := p.classes[f.Class]; clock != nil {
 		f.Observation.Target = clock.spec.Target
+		clock.first.observe(f.Observation.FirstToken)
 	}
 	s.Health.Observe(now, f.Observation, p.reference(f.Observation.Target))
 	if s.Health.State() == Healthy {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -270,7 +270,7 @@
 	if p.queue.WaitingOf(r.Class) == 0 && clock.unserved(now) >= dueShare {
 		return true
 	}
-	if clock.spec.RefuseLate && now.Add(wait).After(r.Deadline) {
+	if clock.spec.RefuseLate && now.Add(wait).After(clock.mustStart(r.Deadline)) {
 		return false
 	}
 	return !now.Add(wait).After(r.Arrived.Add(clock.spec.Starvation))
@@ -319,7 +319,7 @@
 	if now.Sub(r.Arrived) > clock.spec.Starvation {
 		return true
 	}
-	return clock.spec.RefuseLate && now.After(r.Deadline)
+	return clock.spec.RefuseLate && now.After(clock.mustStart(r.Deadline))
 }
 
 func (p *Pool) withdraw(now time.Time, r Reservation, why Refusal) {
