--- a/policy/pool.go
+++ b/policy/pool.go
@@ -21,6 +21,16 @@
 	RefuseLate bool
 }
 
+// Disabled turns single choices of the policy off, to measure what they do.
+type Disabled struct {
+	// Allowance keeps the tiers strict even if a class starves.
+	Allowance bool
+	// Stragglers treats slow and failing servers as sound.
+	Stragglers bool
+	// Express turns off requests beyond a server's slots.
+	Express bool
+}
+
 // PoolSpec describes a pool of interchangeable servers.
 type PoolSpec struct {
 	// Limit bounds the waiting reservations, beyond one of each class.
@@ -29,9 +39,13 @@
 	// server.
 	Slots    int
 	MaxSlots int
-	Classes  []ClassSpec
+	// Batches is set if the servers run requests of different priorities
+	// together and may take a few of a higher tier beyond their slots.
+	Batches bool
+	Classes []ClassSpec
 	// Owners holds the share of its servers' slots that an owner may claim.
-	Owners map[string]float64
+	Owners   map[string]float64
+	Disabled Disabled
 }
 
 // Refusal tells why a reservation was refused.
@@ -88,6 +102,10 @@
 	claims    []string
 	gaps      []time.Duration
 	slots     int
+	// express is the lowest tier that may use the free servers.
+	express int
+	// strictestGap is the shortest target for the token gap; zero means none.
+	strictestGap time.Duration
 	// newcomer is the reservation being decided on, kept here because taking
 	// its address would allocate.
 	newcomer Reservation
@@ -98,7 +116,7 @@
 // NewPool returns a pool without servers.
 func NewPool(spec PoolSpec) *Pool {
 	p := &Pool{queue: NewQueue(), load: NewLoad(), classes: map[string]*classClock{}, held: map[string]bool{}}
-	p.fits = func(r *Reservation) bool { return !p.held[r.Key.Gateway] && p.hasFree(r) }
+	p.fits = func(r *Reservation) bool { return r.Tier <= p.express && !p.held[r.Key.Gateway] && p.hasFree(r) }
 	p.Configure(spec)
 	return p
 }
@@ -127,7 +145,11 @@
 	old := p.classes
 	p.classes = make(map[string]*classClock, len(spec.Classes))
 	p.ordered = p.ordered[:0]
+	p.strictestGap = 0
 	for _, c := range spec.Classes {
+		if gap := c.Target.TokenGap; gap > 0 && (p.strictestGap == 0 || gap < p.strictestGap) {
+			p.strictestGap = gap
+		}
 		if c.Starvation <= 0 {
 			c.Starvation = defaultStarvation
 		}
--- a/test/measure/product.go
+++ b/test/measure/product.go
@@ -28,19 +28,20 @@
 type variant struct {
 	name string
 	// count is the number of schedulers asked for each request.
-	count      int
-	noAffinity bool
-	fixedSlots bool
-	noResume   bool
+	count        int
+	noAffinity   bool
+	growingSlots bool
+	noResume     bool
+	disabled     policy.Disabled
 }
 
 func defaultVariant() variant { return variant{name: productName, count: 3} }
 
 func (v variant) maxSlots() int {
-	if v.fixedSlots {
-		return poolSlots
+	if v.growingSlots {
+		return poolMaxSlots
 	}
-	return poolMaxSlots
+	return poolSlots
 }
 
 // product runs the scheduler and reservation services of all daemons.
@@ -73,7 +74,7 @@
 		name := daemonName(i)
 		bus, view, bundles := network.Bus(name), newFixedView(name), fixedBundle{active}
 		p.services = append(p.services, scheduler.New(scheduler.Config{
-			Bus: bus, View: view, Bundles: bundles, Metrics: metrics.NewRegistry(),
+			Bus: bus, View: view, Bundles: bundles, Metrics: metrics.NewRegistry(), Disabled: v.disabled,
 		}))
 		p.gateways = append(p.gateways, &gateway{
 			manager: reservation.NewManager(reservation.Config{
