Choose schedulers in proportion to the servers they own

Cause: the choice and the widening in the policy differed from what the gateway's reservations do, so logic stood twice and one of them unused. Change: Choose draws schedulers through their servers and leaves out what the caller names; it can replace the choice in the reservation package as it is. Unused parts (a second widening rule, remaining lengths) are removed with the two checks of them; withdrawals have a file of their own. Conclusion: one rule; the reservation package has yet to call it.

--- a/policy/adapt_test.go
+++ b/policy/adapt_test.go
@@ -99,7 +99,6 @@
 	assert.Assert(t, short >= 100 && float64(short) <= 100*bucketGrowth, "%d", short)
 	assert.Assert(t, long >= 2000 && float64(long) <= 2200*bucketGrowth, "%d", long)
 	assert.Equal(t, l.Quantile("chat", "unknown", 0.25), short)
-	assert.Assert(t, l.Remaining("chat", "long", 1000) >= 900)
 }
 
 func TestLengthsForgetOldTraffic(t *testing.T) {
@@ -141,29 +140,37 @@
 	}
 }
 
+func none(string, string) bool { return false }
+
 func TestChooseIsDistinctAndFollowsThePrefix(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	a := NewAssignment(names("s", 20), names("d", 7))
 	for prefix := uint64(1); prefix < 50; prefix++ {
-		got := Choose(a, prefix, 3, rnd)
+		got := Choose(a, prefix, 3, none, rnd)
 		assert.Equal(t, len(got), 3)
 		assert.Equal(t, got[0], a.Owners[a.PreferredServer(prefix)])
 		sorted := slices.Clone(got)
 		slices.Sort(sorted)
 		assert.Equal(t, len(slices.Compact(sorted)), 3)
 	}
-	assert.Equal(t, len(Choose(a, 0, 99, rnd)), len(a.Schedulers))
-	assert.Equal(t, len(Choose(Assignment{}, 1, 3, rnd)), 0)
+	assert.Equal(t, len(Choose(a, 0, 99, none, rnd)), len(a.Schedulers))
+	assert.Equal(t, len(Choose(Assignment{}, 1, 3, none, rnd)), 0)
 }
 
-func TestWidenAsksMoreForHigherTiers(t *testing.T) {
+func TestChooseLeavesOutWhatIsSkipped(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 1))
-	a := NewAssignment(names("s", 200), names("d", 32))
-	asked := Choose(a, 0, 3, rnd)
-	rest := len(a.Schedulers) - 3
-	assert.Equal(t, len(Widen(a, asked, 0, 7, rnd)), rest)
-	assert.Equal(t, len(Widen(a, asked, 2, 7, rnd)), rest/4)
-	assert.Equal(t, len(Widen(a, asked, 7, 7, rnd)), 0)
+	a := NewAssignment(names("s", 20), names("d", 7))
+	asked := Choose(a, 5, 3, none, rnd)
+	more := Choose(a, 5, 99, func(scheduler, _ string) bool { return slices.Contains(asked, scheduler) }, rnd)
+	assert.Equal(t, len(more), len(a.Schedulers)-3)
+	for _, name := range more {
+		assert.Assert(t, !slices.Contains(asked, name))
+	}
+	failed := a.Servers[0]
+	for range 100 {
+		only := Choose(a, 0, 1, func(_, server string) bool { return server != failed }, rnd)
+		assert.DeepEqual(t, only, []string{a.Owners[0]})
+	}
 }
 
 func TestWaitEstimateSubtractsTheAllowance(t *testing.T) {
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -62,21 +62,6 @@
 	return defaultLength
 }
 
-// Remaining returns the expected further length, in tokens, of a request that
-// has produced so many already: the median of those that grew longer.
-func (l *Lengths) Remaining(class, customer string, produced uint32) uint32 {
-	h := l.customers[lengthKey{class, customer}]
-	if h == nil || h.count < minLengthCount {
-		h = l.classes[class]
-	}
-	if h == nil || h.count == 0 {
-		return defaultLength
-	}
-	below := h.shareBelow(float64(produced))
-	total := h.quantile(below + (1-below)/2)
-	return uint32(max(1, total-float64(produced)))
-}
-
 // histogram counts values in geometric buckets.
 type histogram struct {
 	counts [lengthBuckets]uint16
@@ -118,11 +103,3 @@
 	}
 	return math.Pow(bucketGrowth, lengthBuckets-1)
 }
-
-func (h *histogram) shareBelow(v float64) float64 {
-	seen := 0.0
-	for i := range bucketOf(v) {
-		seen += float64(h.counts[i])
-	}
-	return seen / float64(h.count)
-}
