Do not offer a declined server to the same request again

Cause: a gateway that knows a server is leaving declines it and asks again at once; a scheduler whose view lags offered the same server, so both exchanged messages at the speed of the link until the views agreed. Change: the servers that a gateway declined for a request are left out for it for at least ten seconds. Conclusion: the test failed before the change and passes after it.

--- a/scheduler/gateways.go
+++ b/scheduler/gateways.go
@@ -8,10 +8,6 @@
 	"github.com/jacinththread/jacinththread/policy"
 )
 
-// endedFor is how long the end of a request is remembered against late copies
-// of its messages.
-const endedFor = 10 * time.Second
-
 // gateway is what the scheduler knows of a daemon in its role as gateway.
 type gateway struct {
 	// held is set while the gateway does not answer grants.
@@ -96,23 +92,3 @@
 		}
 	}
 }
-
-// recentKeys remembers requests that ended, in two generations.
-type recentKeys struct {
-	newer, older map[policy.Key]struct{}
-	turned       time.Time
-}
-
-func (r *recentKeys) add(k policy.Key, now time.Time) {
-	if r.newer == nil || now.Sub(r.turned) > endedFor {
-		r.older, r.newer = r.newer, map[policy.Key]struct{}{}
-		r.turned = now
-	}
-	r.newer[k] = struct{}{}
-}
-
-func (r *recentKeys) contains(k policy.Key) bool {
-	_, newer := r.newer[k]
-	_, older := r.older[k]
-	return newer || older
-}
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -118,6 +118,10 @@
 		return
 	}
 	s.metrics.declined.Inc(1)
+	// The gateway may ask again: it knows of the server what this daemon does
+	// not yet know, such as that it is leaving.
+	before, _ := s.declined.get(e.key)
+	s.declined.add(e.key, append(before, e.server), now)
 	s.unused(now, e)
 }
 
@@ -145,7 +149,7 @@
 
 func (s *Service) onDone(now time.Time, from string, m *Done) {
 	key := policy.Key{Gateway: from, ID: m.ID}
-	s.ended.add(key, now)
+	s.ended.add(key, struct{}{}, now)
 	e := s.ledger.running[key]
 	if e == nil {
 		// The accept was lost or is late.
--- a/scheduler/handlers.go
+++ b/scheduler/handlers.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinththread/jacinththread/peer"
@@ -93,6 +94,9 @@
 		Trace:    m.Trace,
 		Avoid:    m.Avoid,
 	}
+	if declined, ok := s.declined.get(key); ok {
+		r.Avoid = append(slices.Clone(r.Avoid), declined...)
+	}
 	if c := s.active.Class(m.Class); c != nil {
 		r.Tier = classSpec(*c).Tier
 	}
@@ -105,7 +109,7 @@
 
 func (s *Service) onCancel(now time.Time, from string, m *Cancel) {
 	key := policy.Key{Gateway: from, ID: m.ID}
-	s.ended.add(key, now)
+	s.ended.add(key, struct{}{}, now)
 	for _, p := range s.ordered {
 		if p.Cancel(key) {
 			s.record(EventCanceled, now, p.name, &policy.Reservation{Key: key}, nil)
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -64,7 +64,10 @@
 	ledger   ledger
 	gateways map[string]*gateway
 	rounds   map[uint64]*round
-	ended    recentKeys
+	// ended holds requests that ended, against late copies of their messages.
+	ended recent[struct{}]
+	// declined holds the servers that gateways declined for a request.
+	declined recent[[]string]
 	lastSeq  uint64
 	lastTick time.Time
 	outbox   []outgoing
@@ -102,7 +105,6 @@
 		ledger:   newLedger(now),
 		gateways: map[string]*gateway{},
 		rounds:   map[uint64]*round{},
-		ended:    recentKeys{},
 		lastSeq:  uint64(now.UnixNano()),
 		lastTick: now,
 	}
--- a/scheduler/service_test.go
+++ b/scheduler/service_test.go
@@ -276,3 +276,15 @@
 		assert.Equal(t, stragglers, 1)
 	})
 }
+
+func TestDeclinedServerIsNotOfferedToTheSameRequestAgain(t *testing.T) {
+	withBench(t, 1, []string{"s1", "s2"}, func(t *testing.T, b *bench) {
+		first := grantIn(t, b.bus.deliver(gatewayName, reserve(1, 0)))
+		b.bus.deliver(gatewayName, &Decline{GrantID: first.GrantID, ID: 1, Server: first.Server})
+		second := grantIn(t, b.bus.deliver(gatewayName, reserve(1, 0)))
+		assert.Assert(t, second.Server != first.Server)
+		b.bus.deliver(gatewayName, &Decline{GrantID: second.GrantID, ID: 1, Server: second.Server})
+		out := b.bus.deliver(gatewayName, reserve(1, 0))
+		assert.Equal(t, out[0].m.(*Infeasible).Reason, ReasonNoServer)
+	})
+}
