Fuzz held gateways and repeated reservations

Cause: the stateful test had neither gateways that get no grants nor repeated reservations. Change: both are actions of the test; a held gateway's reservations must not be granted, and a repeated one must not be refused after it was admitted.

--- a/policy/oracle_test.go
+++ b/policy/oracle_test.go
@@ -20,6 +20,7 @@
 	granted []Pick
 	ended   map[Key]string
 	all     map[Key]bool
+	held    map[string]bool
 	// slots is the number of slots of each server, and express how many more a
 	// higher tier may use.
 	slots, express int
@@ -53,7 +54,7 @@
 		})
 	}
 	o := &oracle{
-		pool: NewPool(spec), now: epoch, ended: map[Key]string{}, all: map[Key]bool{},
+		pool: NewPool(spec), now: epoch, ended: map[Key]string{}, all: map[Key]bool{}, held: map[string]bool{},
 		slots: spec.Slots, express: express,
 	}
 	specs := serverSpecs(servers)
@@ -87,6 +88,9 @@
 
 // fits reports whether a slot is free for the reservation.
 func (o *oracle) fits(r Reservation) bool {
+	if o.held[r.Key.Gateway] {
+		return false
+	}
 	for _, s := range o.pool.Servers() {
 		used, _ := o.usage(s.Name)
 		if !s.Leaving && used < o.slots && !slices.Contains(r.Avoid, s.Name) {
@@ -99,6 +103,9 @@
 // fitsExpress reports whether the reservation may run beyond the slots: all
 // slots are in use, no higher tier waits, and a lower tier runs on the server.
 func (o *oracle) fitsExpress(r Reservation) bool {
+	if o.held[r.Key.Gateway] {
+		return false
+	}
 	for _, w := range o.waiting {
 		if w.Tier < r.Tier {
 			return false
@@ -125,6 +132,7 @@
 	tier := rapid.IntRange(0, Tiers-1).Draw(t, "tier")
 	customer := fmt.Sprint("customer-", rapid.IntRange(0, 4).Draw(t, "customer"))
 	r := res(o.nextID, tier, customer, uint32(rapid.IntRange(1, 2000).Draw(t, "cost")))
+	r.Key.Gateway = rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "gateway")
 	r.Arrived = o.now
 	r.Deadline = o.now.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "deadline")) * time.Millisecond)
 	if customer == "customer-0" {
@@ -303,8 +311,26 @@
 	rapid.Check(t, func(t *rapid.T) {
 		o := start(rapid.IntRange(1, 3).Draw(t, "servers"), oracleLimit)
 		t.Repeat(map[string]func(*rapid.T){
-			"reserve":       o.reserve,
-			"reserve again": o.reserve,
+			"reserve": o.reserve,
+			"reserve again": func(t *rapid.T) {
+				if len(o.waiting) == 0 {
+					return
+				}
+				r := rapid.SampledFrom(o.waiting).Draw(t, "repeated")
+				r.Deadline = r.Deadline.Add(time.Second)
+				v := o.pool.Reserve(o.now, r)
+				if v.Refusal == RefusedNoServer {
+					o.drop(r.Key)
+					o.ended[r.Key] = "refused"
+				} else if v.Refusal != NotRefused {
+					t.Fatalf("%v was admitted and then refused", r.Key)
+				}
+			},
+			"hold": func(t *rapid.T) {
+				gateway := rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "gateway")
+				o.held[gateway] = rapid.IntRange(0, 2).Draw(t, "held") == 0
+				o.pool.Hold(gateway, o.held[gateway])
+			},
 			"burst": func(t *rapid.T) {
 				for range 6 {
 					o.reserve(t)
