--- a/policy/grant.go
+++ b/policy/grant.go
@@ -205,6 +205,7 @@
 	}
 	if clock := p.classes[f.Class]; clock != nil {
 		f.Observation.Target = clock.spec.Target
+		clock.first.observe(f.Observation.FirstToken)
 	}
 	f.Observation.Started = now.Add(-f.Took)
 	if !p.spec.Disabled.Stragglers {
