Renew long-waiting reservations less often

Cause: each reservation was repeated every 2 s at each of its schedulers, so a burst that waits for minutes cost 60 to 99 messages a request, most of them renewals. They only serve a scheduler that restarted under its old name: a lost grant is offered again by the scheduler, and a scheduler that is gone is seen in the membership.

Change: the time between renewals grows with the wait, 2 to 15 s.

--- a/reservation/manager.go
+++ b/reservation/manager.go
@@ -22,9 +22,12 @@
 	firstAnswerWait = 10 * time.Millisecond
 	// ackTimeout is how long a scheduler may take to answer a reservation.
 	ackTimeout = 300 * time.Millisecond
-	// renewInterval is how often a queued reservation is repeated, so that a
-	// lost grant or a restarted scheduler does not lose it.
-	renewInterval = 2 * time.Second
+	// A queued reservation is repeated, so that a restarted scheduler does not
+	// lose it: renewShare of the time it has waited after the last time, but not
+	// sooner than minRenewInterval and not later than maxRenewInterval.
+	minRenewInterval = 2 * time.Second
+	maxRenewInterval = 15 * time.Second
+	renewShare       = 0.5
 	// defaultRetryAfter is told when no scheduler gave an estimate.
 	defaultRetryAfter = time.Second
 	// sampleSize and sampleDecay favor the last five minutes.
--- a/reservation/manager_test.go
+++ b/reservation/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -265,6 +266,26 @@
 	})
 }
 
+func TestRenewalsOfALongWaitBecomeRare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a")
+		var sent atomic.Int32
+		f.schedulers["a"].answer = func(r *scheduler.Reserve) peer.Message {
+			sent.Add(1)
+			return &scheduler.Queued{ID: r.ID}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		out := f.acquire(ctx, spec(0))
+		time.Sleep(2 * time.Minute)
+		n := sent.Load()
+		assert.Assert(t, n <= 20, "%d reservations sent in two minutes", n)
+		time.Sleep(maxRenewInterval + refreshInterval)
+		assert.Assert(t, sent.Load() > n)
+		cancel()
+		assert.ErrorIs(t, (<-out).err, context.Canceled)
+	})
+}
+
 func TestLostSchedulerIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture("a", "b", "c")
--- a/reservation/protocol.go
+++ b/reservation/protocol.go
@@ -200,6 +200,13 @@
 	m.send(from, answer)
 }
 
+// renewAfter is the time between two renewals of a reservation that has waited
+// so long.
+func renewAfter(waited time.Duration) time.Duration {
+	share := time.Duration(renewShare * float64(waited))
+	return min(max(share, minRenewInterval), maxRenewInterval)
+}
+
 // refresh repeats unanswered and old reservations and replaces schedulers that
 // are gone.
 func (m *Manager) refresh(r *reservation) {
@@ -219,7 +226,7 @@
 			continue
 		}
 		age := now.Sub(a.sentAt)
-		if (!a.queued && age >= ackTimeout) || age >= renewInterval {
+		if (!a.queued && age >= ackTimeout) || age >= renewAfter(now.Sub(r.spec.Arrived)) {
 			a.sentAt = now
 			m.renewed.Inc(1)
 			m.send(name, r.message(now))
