--- a/policy/pool.go
+++ b/policy/pool.go
@@ -27,6 +27,8 @@
 	Allowance bool
 	// Stragglers treats slow and failing servers as sound.
 	Stragglers bool
+	// Express turns off requests beyond a server's slots.
+	Express bool
 }
 
 // PoolSpec describes a pool of interchangeable servers.
@@ -37,7 +39,10 @@
 	// server.
 	Slots    int
 	MaxSlots int
-	Classes  []ClassSpec
+	// Batches is set if the servers run requests of different priorities
+	// together and may take a few of a higher tier beyond their slots.
+	Batches bool
+	Classes []ClassSpec
 	// Owners holds the share of its servers' slots that an owner may claim.
 	Owners   map[string]float64
 	Disabled Disabled
@@ -97,6 +102,8 @@
 	claims    []string
 	gaps      []time.Duration
 	slots     int
+	// express is the lowest tier that may use the free servers.
+	express int
 	// strictestGap is the shortest target for the token gap; zero means none.
 	strictestGap time.Duration
 	// newcomer is the reservation being decided on, kept here because taking
@@ -109,7 +116,7 @@
 // NewPool returns a pool without servers.
 func NewPool(spec PoolSpec) *Pool {
 	p := &Pool{queue: NewQueue(), load: NewLoad(), classes: map[string]*classClock{}, held: map[string]bool{}}
-	p.fits = func(r *Reservation) bool { return !p.held[r.Key.Gateway] && p.hasFree(r) }
+	p.fits = func(r *Reservation) bool { return r.Tier <= p.express && !p.held[r.Key.Gateway] && p.hasFree(r) }
 	p.Configure(spec)
 	return p
 }
@@ -151,6 +158,7 @@
 			clock = &classClock{}
 		}
 		clock.spec = c
+		clock.queue = p.queue.class(c.Name)
 		p.classes[c.Name] = clock
 		p.ordered = append(p.ordered, clock)
 	}
@@ -243,7 +251,7 @@
 	}
 	excess := p.queue.Len()
 	for _, c := range p.ordered {
-		if p.queue.WaitingOf(c.spec.Name) > 0 {
+		if c.queue.len() > 0 {
 			excess--
 		}
 	}
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -6,8 +6,8 @@
 // latency targets depends on the model, the prompts and the machine, and is not
 // known in advance. Additive increase while the targets hold and the slots are
 // in use, and multiplicative decrease when more requests come near their targets
-// than the classes promise, finds it and follows it. A request counts before it
-// misses, because it may also have waited for its slot. Every request is held to
+// than the classes promise, finds it and follows it. A late first token counts
+// before it misses, because the request may also have waited for its slot. Every request is held to
 // the pool's strictest token gap, because all share the batch.
 
 const (
@@ -42,10 +42,12 @@
 	Target   Target
 	// Failed is set when the server broke the request or fell silent.
 	Failed bool
+	// Started is when the request was sent; zero if unknown.
+	Started time.Time
 }
 
-// Strained reports whether the server failed the request or used more than
-// its part of a target.
+// Strained reports whether the server failed the request, used more than its
+// part of the target for the first token, or of the one for the token gap.
 func (o Observation) Strained() bool {
 	return o.Failed ||
 		exceeds(o.FirstToken, o.Target.FirstToken, firstTokenHeadroom) ||
--- a/scheduler/pools.go
+++ b/scheduler/pools.go
@@ -84,6 +84,9 @@
 		Owners:   map[string]float64{},
 		Disabled: s.cfg.Disabled,
 	}
+	if service := s.active.Service(b.Service); service != nil {
+		spec.Batches = service.Kind == bundle.Engine
+	}
 	for _, o := range s.active.Bundle.Owners {
 		spec.Owners[o.Name] = o.Share
 	}
