--- a/test/measure/experiment.go
+++ b/test/measure/experiment.go
@@ -25,7 +25,7 @@
 func baselineWorld(w *workload, s scenario, name string, seed uint64) (result, *world) {
 	c := &eventClock{}
 	wd := newWorld(c, w, s, seed)
-	wd.requests = w.arrivals(w.active(poolSlots), s, seed)
+	wd.requests = w.arrivals(w.active(poolSlots, poolSlots), s, seed)
 	r := newBaseline(wd, name)
 	for _, q := range wd.requests {
 		c.after(q.arrived, func() { wd.arrive(r, q) })
@@ -57,7 +57,7 @@
 func productWorld(w *workload, s scenario, v variant, seed uint64) (result, *world, error) {
 	start := time.Now()
 	wd := newWorld(&systemClock{start: start}, w, s, seed)
-	active := w.active(v.maxSlots())
+	active := w.active(v.slots, v.maxSlots)
 	wd.requests = w.arrivals(active, s, seed)
 	p := newProduct(wd, v, active, start)
 	for _, svc := range p.services {
--- a/test/measure/measure_test.go
+++ b/test/measure/measure_test.go
@@ -108,9 +108,9 @@
 
 func TestSteadyArrivalsAreEqualInAllScenarios(t *testing.T) {
 	for _, w := range workloads() {
-		steady := w.arrivals(w.active(poolSlots), scenarioNamed("steady"), 3)
+		steady := w.arrivals(w.active(poolSlots, poolSlots), scenarioNamed("steady"), 3)
 		var kept []*request
-		for _, q := range w.arrivals(w.active(poolSlots), scenarioNamed("burst-lowest"), 3) {
+		for _, q := range w.arrivals(w.active(poolSlots, poolSlots), scenarioNamed("burst-lowest"), 3) {
 			if !q.burst {
 				kept = append(kept, q)
 			}
--- a/test/measure/product.go
+++ b/test/measure/product.go
@@ -28,20 +28,16 @@
 type variant struct {
 	name string
 	// count is the number of schedulers asked for each request.
-	count        int
-	noAffinity   bool
-	growingSlots bool
-	noResume     bool
-	disabled     policy.Disabled
+	count      int
+	noAffinity bool
+	// slots and maxSlots are the bundle's numbers for each server.
+	slots, maxSlots int
+	noResume        bool
+	disabled        policy.Disabled
 }
 
-func defaultVariant() variant { return variant{name: productName, count: 3} }
-
-func (v variant) maxSlots() int {
-	if v.growingSlots {
-		return poolMaxSlots
-	}
-	return poolSlots
+func defaultVariant() variant {
+	return variant{name: productName, count: 3, slots: poolSlots, maxSlots: poolSlots}
 }
 
 // product runs the scheduler and reservation services of all daemons.
--- a/test/measure/workload.go
+++ b/test/measure/workload.go
@@ -97,10 +97,10 @@
 
 // active returns the bundle of a workload. Two owners pay for half of the
 // servers each.
-func (w *workload) active(maxSlots int) *bundle.Active {
+func (w *workload) active(slots, maxSlots int) *bundle.Active {
 	b := &bundle.Bundle{
 		Services: []bundle.Service{{Name: serviceName, Kind: bundle.Engine, Repeatable: true}},
-		Pools:    []bundle.Pool{{Name: poolName, Service: serviceName, Slots: poolSlots, MaxSlots: maxSlots}},
+		Pools:    []bundle.Pool{{Name: poolName, Service: serviceName, Slots: slots, MaxSlots: maxSlots}},
 		Owners: []bundle.Owner{
 			{Name: "north", Servers: []string{"llm-0?"}, Share: 0.5},
 			{Name: "south", Servers: []string{"llm-1?"}, Share: 0.5},
