Answer slow senders and never send an empty 200 to a caller that goes away

- A request whose body stalls was never cut.
Cause: readBody cleared the read deadline after the failed read; net/http then reads on for the rest of the body before it sends the answer, without a bound.
The header timeout was excluded: the headers had arrived.
The deadline now stays after a failure, and the caller gets 408 body_not_read.
- A caller that closes its sending side, or whose body read failed, got an empty answer with status 200.
Cause: net/http ends the request's context in both cases, finish took that for a caller that left and returned, and a handler that returns without writing sends 200. finish now aborts the connection.

--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/internal/standin/engine"
+	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
+)
+
+func TestEveryDaemonServesStreamsAndCallsOnce(t *testing.T) {
+	d := newDeployment(t)
+	d.start(3)
+	for _, daemon := range d.daemons {
+		assert.Assert(t, !daemon.ready(d), "%s is ready without a bundle", daemon.settings.Name)
+	}
+	d.roll()
+	for i, daemon := range d.daemons {
+		prompt := fmt.Sprintf("question %d", i)
+		assert.Equal(t, daemon.chat(d, prompt, 7), wantText(prompt, 7))
+		// All repeats of one key are one call, whichever daemon gets them.
+		res, err := daemon.post(d, "/services/ledger/fees", `{"fee": 12}`, "Idempotency-Key", "fee-1")
+		assert.NilError(t, err)
+		body, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusOK, string(body))
+		assert.Equal(t, res.Header.Get("Jacinththread-Run"), "ran")
+	}
+	assert.Equal(t, len(d.ledger.Runs()), 1)
+}
+
+func TestPlannedStopCompletesAStreamInFlight(t *testing.T) {
+	const tokens = 40
+	d := newDeployment(t)
+	d.start(3)
+	d.roll()
+	gap := 100 // Milliseconds; keeps the stream open beyond the entry ttl.
+	for _, e := range d.engines {
+		e.SetFaults(engine.Faults{TokenGapMs: &gap})
+	}
+	leaving, staying := d.daemons[0], d.daemons[1:]
+	res, err := leaving.post(d, chatPath, chatBody("long", tokens))
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	stream := bufio.NewReader(res.Body)
+	first, err := stream.ReadString('\n')
+	assert.NilError(t, err)
+
+	begun := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaving.kernel.Stop(t.Context()) }()
+	leaving.stopped = true
+	refusedAt := make(chan time.Time, 1)
+	go func() { refusedAt <- firstRefusal(t, leaving.settings.Listen.Callers) }()
+	for _, daemon := range staying {
+		d.wait(daemon.settings.Name+" lists only those that stay", func() bool {
+			return slices.Equal(daemon.entries(d), []string{"entry-2", "entry-3"})
+		})
+	}
+	// The listener may close only once no caller still holds its address.
+	held := (<-refusedAt).Sub(begun)
+	assert.Assert(t, held >= entryTTL, "connections were refused after %s", held)
+
+	rest, err := io.ReadAll(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, completeText(t, first+string(rest)), wantText("long", tokens))
+	assert.NilError(t, <-stopped)
+	for _, daemon := range staying {
+		assert.Equal(t, daemon.chat(d, "after", 3), wantText("after", 3))
+	}
+}
+
+// firstRefusal connects again and again and returns when it was refused.
+func firstRefusal(t *testing.T, addr string) time.Time {
+	for t.Context().Err() == nil {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return time.Now()
+		}
+		conn.Close()
+		time.Sleep(pollInterval)
+	}
+	return time.Time{}
+}
+
+func TestCutShortStopNamesTheRequestsInFlight(t *testing.T) {
+	d := newDeployment(t)
+	d.start(1)
+	d.roll()
+	for _, e := range d.engines {
+		e.SetFaults(engine.Faults{HangAfter: 1})
+	}
+	daemon := d.daemons[0]
+	res, err := daemon.post(d, chatPath, chatBody("long", 10))
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	s := *daemon.settings
+	s.Stop.BoundMs = 700
+	ctx, cancel := stopContext(&s, nil)
+	defer cancel()
+	daemon.stopped = true
+	// The error tells that the bound came first; the log tells what was cut.
+	_ = daemon.kernel.Stop(ctx)
+	assert.Assert(t, strings.Contains(d.logs.String(), `msg="planned stop was cut short" daemon=entry-1 requests_cut=1`), d.logs.String())
+	body, err := io.ReadAll(res.Body)
+	assert.Assert(t, err != nil || !strings.Contains(string(body), "[DONE]"), "a cut answer must not look complete")
+}
+
+func TestHeadersAreBounded(t *testing.T) {
+	d := newDeployment(t)
+	d.start(1)
+	d.roll()
+	daemon := d.daemons[0]
+	// net/http grants 4096 bytes beyond the limit.
+	res, err := daemon.post(d, chatPath, chatBody("x", 1), "Flood", strings.Repeat("f", 4*maxHeader))
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, daemon.chat(d, "still served", 3), wantText("still served", 3))
+}
+
+func TestSlowSendersAreCut(t *testing.T) {
+	d := newDeployment(t)
+	s := d.newSettings("entry-1")
+	s.Callers.ReadTimeoutMs = 1000
+	d.startOne(s)
+	d.roll()
+	head := "POST " + chatPath + " HTTP/1.1\r\nHost: entry\r\n"
+	full := head + "Authorization: Bearer " + customerToken + "\r\nContent-Length: 100\r\n\r\n{"
+	for _, c := range []struct{ name, sent, status string }{
+		{"headers", head, ""},
+		{"body", full, "HTTP/1.1 408 "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", d.daemons[0].settings.Listen.Callers)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = conn.Write([]byte(c.sent))
+			assert.NilError(t, err)
+			// The bound only ends a hung test.
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(pollBound)))
+			answer, err := io.ReadAll(conn)
+			assert.NilError(t, err, "the daemon did not close the connection")
+			assert.Assert(t, strings.HasPrefix(string(answer), c.status), string(answer))
+			assert.Assert(t, !strings.Contains(string(answer), "200 OK"), string(answer))
+		})
+	}
+}
+
+// TestHalfClosedConnectionGetsNoEmptyAnswer: net/http ends the request's context
+// when the caller closes its sending side, although it may still read.
+func TestHalfClosedConnectionGetsNoEmptyAnswer(t *testing.T) {
+	d := newDeployment(t)
+	d.start(1)
+	d.roll()
+	for _, e := range d.engines {
+		e.SetFaults(engine.Faults{HangAfter: 1})
+	}
+	conn, err := net.Dial("tcp", d.daemons[0].settings.Listen.Callers)
+	assert.NilError(t, err)
+	defer conn.Close()
+	body := strings.Replace(chatBody("x", 5), `"stream": true`, `"stream": false`, 1)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		chatPath, customerToken, len(body), body)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(pollBound)))
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer), "")
+}
+
+func TestStartDuringStoreOutageTakesTheBundleFromPeers(t *testing.T) {
+	d := newDeployment(t)
+	d.start(2)
+	d.roll()
+	d.platform.SetFaults(standinplatform.Faults{Down: true})
+	d.start(1)
+	d.wait("the new daemon is ready", func() bool { return d.daemons[2].ready(d) })
+	d.wait("the new daemon knows the backend servers", func() bool {
+		return slices.Equal(d.daemons[2].gauges(d, "membership.servers.live"), []int64{3})
+	})
+	assert.Equal(t, d.daemons[2].chat(d, "outage", 4), wantText("outage", 4))
+	res, err := d.daemons[2].post(d, "/services/ledger/fees", "{}", "Idempotency-Key", "fee-2")
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(d.ledger.Runs()), 0)
+	d.platform.SetFaults(standinplatform.Faults{})
+}
--- /dev/null
+++ b/daemon/harness_test.go
@@ -0,0 +1,358 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/ctl/client"
+	"github.com/jacinththread/jacinththread/internal/standin/engine"
+	"github.com/jacinththread/jacinththread/internal/standin/plain"
+	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/settings"
+)
+
+const (
+	// pollBound ends a wait for a state. No verdict depends on its length.
+	pollBound    = 20 * time.Second
+	pollInterval = 10 * time.Millisecond
+
+	testKey       = "00112233445566778899aabbccddeeff"
+	customerToken = "demo-token-north"
+	region        = "utara"
+	entryTTL      = 500 * time.Millisecond
+	maxHeader     = 4096
+)
+
+// bundleText has one customer whose token is customerToken.
+const bundleText = `{
+  "classes": [
+    {"name": "counter", "tier": 0, "first_token_ms": 20000, "token_gap_ms": 5000, "promise": 0.95, "starvation_ms": 60000, "on_miss": "serve_late", "retry_budget": 0.1},
+  ],
+  "customers": [
+    {"name": "north-desk", "token_digests": ["0311ffd6b11d68eb4f6d21c1d23bd5265aafd5c7618d8a12e11337f1b1e4297a"], "weight": 1, "owner": "north", "classes": ["counter"]},
+  ],
+  "owners": [{"name": "north", "servers": ["engine-1", "engine-2", "ledger-1"], "share": 1}],
+  "services": [
+    {"name": "llm", "kind": "engine", "repeatable": true, "safe_methods": [], "checks_order": false},
+    {"name": "ledger", "kind": "plain", "repeatable": false, "safe_methods": ["GET"], "checks_order": false},
+  ],
+  "pools": [
+    {"name": "llm", "service": "llm", "models": ["demo-model"], "servers": [], "slots": 4, "max_slots": 8},
+    {"name": "ledger", "service": "ledger", "models": [], "servers": [], "slots": 4, "max_slots": 8},
+  ],
+  "operators": [
+    {"name": "alia", "token_digests": ["a2f5000de73b28cbfbc30aad68a762fbb3ee05be4f5091eecff91dfecd575c16"]},
+    {"name": "bakar", "token_digests": ["29a50c96562910fc95213d3378c2992a7fd964ebf699622c5e41ab1b154b4a19"]},
+  ],
+  "retention_hours": 24,
+}`
+
+// deployment is a platform, backend servers and daemons in one process.
+type deployment struct {
+	t           *testing.T
+	platform    *standinplatform.Standin
+	platformURL string
+	engines     []*engine.Engine
+	ledger      *plain.Server
+	hosts       []platform.Host
+	http        *http.Client
+	daemons     []*testDaemon
+	logs        *buffer
+	spans       *tracetest.InMemoryExporter
+}
+
+// testDaemon is one running daemon.
+type testDaemon struct {
+	settings *settings.Settings
+	kernel   *kernel.Kernel
+	stopped  bool
+}
+
+// buffer is a log sink that is safe for concurrent use.
+type buffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
+// newDeployment starts the platform and the backend servers.
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{
+		t:        t,
+		platform: standinplatform.New(),
+		ledger:   plain.New(plain.Config{Name: "ledger-1"}),
+		http:     &http.Client{Transport: &http.Transport{}},
+		logs:     &buffer{},
+		spans:    tracetest.NewInMemoryExporter(),
+	}
+	t.Cleanup(d.http.CloseIdleConnections)
+	d.platformURL = "http://" + d.serve(d.platform.Handler())
+	for _, name := range []string{"engine-1", "engine-2"} {
+		e := engine.New(engine.Config{Name: name, Slots: 4, Tokens: 5})
+		d.engines = append(d.engines, e)
+		d.addHost(name, d.serve(e.Handler()), "llm")
+	}
+	d.addHost("ledger-1", d.serve(d.ledger.Handler()), "ledger")
+	return d
+}
+
+func (d *deployment) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	d.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (d *deployment) addHost(name, addr, service string) {
+	d.hosts = append(d.hosts, platform.Host{
+		Name: name, Addr: addr, Service: service, Region: region, Domain: "prai", State: platform.HostLive,
+	})
+	d.platform.SetHosts(d.hosts)
+}
+
+// newSettings returns the settings of one more daemon and lists its host.
+func (d *deployment) newSettings(name string) *settings.Settings {
+	s := settings.Defaults()
+	s.Name, s.Region, s.Domain = name, region, "prai"
+	ports := freePorts(d.t, 3)
+	s.Listen = settings.Listen{Callers: ports[0], Peers: ports[1], Operators: ports[2]}
+	s.Platform.URL = d.platformURL
+	s.Peers.Keys = []string{testKey}
+	s.Callers.EntryTTLMs = int(entryTTL.Milliseconds())
+	s.Callers.MaxHeaderBytes = maxHeader
+	for _, other := range d.daemons {
+		seed := settings.Seed{Name: other.settings.Name, Addr: other.settings.Listen.Peers}
+		s.Peers.Seeds = append(s.Peers.Seeds, seed)
+	}
+	d.addHost(name, s.Listen.Peers, s.Platform.DaemonService)
+	return s
+}
+
+// freePorts returns loopback addresses that nothing listens on.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var addrs []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer ln.Close()
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs
+}
+
+// start starts n more daemons.
+func (d *deployment) start(n int) {
+	d.t.Helper()
+	for range n {
+		d.startOne(d.newSettings(fmt.Sprintf("entry-%d", len(d.daemons)+1)))
+	}
+}
+
+func (d *deployment) startOne(s *settings.Settings) *testDaemon {
+	d.t.Helper()
+	logger := log.NewWithOptions(d.logs, log.Options{
+		Level: log.DebugLevel, Formatter: log.LogfmtFormatter, Fields: []any{"daemon", s.Name},
+	})
+	tracing := sdktrace.NewTracerProvider(sdktrace.WithSyncer(d.spans))
+	k, err := kernel.New(logger, Modules(s, logger, tracing.Tracer("test"))...)
+	assert.NilError(d.t, err)
+	assert.NilError(d.t, k.Start(d.t.Context()))
+	daemon := &testDaemon{settings: s, kernel: k}
+	d.daemons = append(d.daemons, daemon)
+	d.t.Cleanup(func() {
+		if daemon.stopped {
+			return
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // Cuts the planned stop short.
+		// Errors tell what was cut.
+		_ = k.Stop(ctx)
+	})
+	return daemon
+}
+
+// roll puts a first bundle in force and waits for it on every daemon.
+func (d *deployment) roll() {
+	d.t.Helper()
+	kv, err := httpstore.New(d.platformURL, time.Second)
+	assert.NilError(d.t, err)
+	d.t.Cleanup(kv.Close)
+	store := bundle.NewStore(kv)
+	ctx := d.t.Context()
+	p, err := store.Propose(ctx, bundle.Change{ID: "first", Content: bundleText}, "alia")
+	assert.NilError(d.t, err)
+	_, err = store.Approve(ctx, p.ChangeID, p.Digest, "bakar")
+	assert.NilError(d.t, err)
+	_, err = store.Roll(ctx, p.ChangeID, "alia")
+	assert.NilError(d.t, err)
+	d.waitReady()
+}
+
+// waitReady waits until every daemon is ready and knows all hosts.
+func (d *deployment) waitReady() {
+	d.t.Helper()
+	for _, daemon := range d.daemons {
+		d.wait(daemon.settings.Name+" is ready", func() bool { return daemon.ready(d) })
+		d.wait(daemon.settings.Name+" knows all daemons", func() bool {
+			return len(daemon.gauges(d, "membership.daemons.alive")) == 1 &&
+				daemon.gauges(d, "membership.daemons.alive")[0] == int64(len(d.daemons))
+		})
+	}
+}
+
+// wait polls a condition.
+func (d *deployment) wait(what string, reached func() bool) {
+	d.t.Helper()
+	end := time.Now().Add(pollBound)
+	for !reached() {
+		if time.Now().After(end) {
+			d.t.Fatalf("%s: not reached; log:\n%s", what, d.logs.String())
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (td *testDaemon) ready(d *deployment) bool {
+	res, err := d.http.Get("http://" + td.settings.Listen.Operators + "/readyz")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// metrics reads the metrics as operators do.
+func (td *testDaemon) metrics(d *deployment) map[string]map[string]any {
+	d.t.Helper()
+	res, err := d.http.Get("http://" + td.settings.Listen.Operators + "/metrics")
+	assert.NilError(d.t, err)
+	defer res.Body.Close()
+	var all map[string]map[string]any
+	assert.NilError(d.t, json.NewDecoder(res.Body).Decode(&all))
+	return all
+}
+
+// gauges returns the values of the named gauges.
+func (td *testDaemon) gauges(d *deployment, names ...string) []int64 {
+	d.t.Helper()
+	all := td.metrics(d)
+	var out []int64
+	for _, name := range names {
+		if v, ok := all[name]["value"].(float64); ok {
+			out = append(out, int64(v))
+		}
+	}
+	return out
+}
+
+// entries returns the names that a daemon gives to callers, sorted.
+func (td *testDaemon) entries(d *deployment) []string {
+	d.t.Helper()
+	dir := client.NewDirectory(d.http, []string{"http://" + td.settings.Listen.Callers}, false)
+	answer, err := dir.Ask(d.t.Context())
+	assert.NilError(d.t, err)
+	var names []string
+	for _, e := range answer.Entries {
+		names = append(names, e.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// post sends a caller's request to one daemon.
+func (td *testDaemon) post(d *deployment, path, body string, header ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(d.t.Context(), http.MethodPost, "http://"+td.settings.Listen.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+customerToken)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return d.http.Do(req)
+}
+
+const chatPath = "/v1/chat/completions"
+
+func chatBody(prompt string, tokens int) string {
+	return fmt.Sprintf(`{"model": "demo-model", "stream": true, "max_tokens": %d, "messages": [{"role": "user", "content": %q}]}`, tokens, prompt)
+}
+
+// chat streams one answer and returns its text after checking its end marker.
+func (td *testDaemon) chat(d *deployment, prompt string, tokens int) string {
+	d.t.Helper()
+	res, err := td.post(d, chatPath, chatBody(prompt, tokens))
+	assert.NilError(d.t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(d.t, err)
+	assert.Equal(d.t, res.StatusCode, http.StatusOK, string(body))
+	return completeText(d.t, string(body))
+}
+
+// completeText joins the pieces of a stream, which must end in its marker.
+func completeText(t *testing.T, stream string) string {
+	t.Helper()
+	var text strings.Builder
+	done := false
+	for line := range strings.Lines(stream) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		assert.NilError(t, json.Unmarshal([]byte(data), &chunk))
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	assert.Assert(t, done, "stream has no end marker: %s", stream)
+	return text.String()
+}
+
+// wantText is the stand-in engine's answer to a chat of one message.
+func wantText(prompt string, tokens int) string {
+	messages := fmt.Sprintf(`[{"role":"user","content":%q}]`, prompt)
+	return engine.Text("demo-model", messages, tokens)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,16 +98,17 @@
 	}
 }
 
-// finish logs the outcome and writes an error, unless the answer has begun or
-// nobody waits for it.
+// finish logs the outcome and writes an error. If the answer has begun or the
+// caller went away, it aborts the connection instead: returning would send an
+// empty answer with status 200.
 func (g *Gateway) finish(w http.ResponseWriter, req *request, err error) {
 	if err == nil {
 		g.counters.served.Inc(1)
 		return
 	}
-	if req.http.Context().Err() != nil || errors.Is(err, errCallerGone) {
+	if callerGone(req, err) {
 		g.counters.left.Inc(1)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	e := asError(err)
 	g.counters.failed(e.Status)
@@ -119,3 +120,13 @@
 	}
 	writeError(w, e, req.run)
 }
+
+// callerGone reports whether nobody waits for the answer. net/http ends the
+// request's context after a timeout of its body as well, but then the caller
+// still waits.
+func callerGone(req *request, err error) bool {
+	if errors.Is(err, errBodyTimeout) {
+		return false
+	}
+	return req.http.Context().Err() != nil || errors.Is(err, errCallerGone)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -157,13 +158,18 @@
 	return nil
 }
 
+// errBodyTimeout is the answer to a caller that sends its body too slowly.
+var errBodyTimeout = &Error{
+	Status: http.StatusRequestTimeout, Code: "body_not_read",
+	Message: "body was not received in time",
+}
+
 // readBody reads the whole body within the size and time limits.
 func (g *Gateway) readBody(w http.ResponseWriter, req *request) error {
 	control := http.NewResponseController(w)
 	limit := time.Duration(g.cfg.Limits.ReadTimeoutMs) * time.Millisecond
 	// Not every ResponseWriter of a test supports deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(limit))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.http.Body, int64(g.cfg.Limits.MaxBodyBytes)))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -172,12 +178,14 @@
 			Status: http.StatusRequestEntityTooLarge, Code: "body_too_large",
 			Message: "body exceeds " + strconv.Itoa(g.cfg.Limits.MaxBodyBytes) + " bytes",
 		}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errBodyTimeout
 	case err != nil:
-		return &Error{
-			Status: http.StatusRequestTimeout, Code: "body_not_read",
-			Message: "body was not received in time",
-		}
+		return errCallerGone
 	}
+	// After a failure the deadline stays: the server reads on before it closes
+	// the connection.
+	_ = control.SetReadDeadline(time.Time{})
 	req.body = body
 	return nil
 }
