Describe every metric and log event and check the pages against the code

docs/operations gets an index by symptom and pages for install, stops, store outage, replaced hosts, backend servers, metrics and log events. Tests compare the metrics page with the registry of a running daemon (name, type, package as first part), the log page with all logger calls in the sources (message, level, fields), and check the links.

Faults found on the way, each by a test that failed first: - "request failed" logged the message for the caller, which quotes what it sent (an unknown model name carried the prompt text into the log). The message is left out; internal errors have an event of their own. Tokens, keys, answers and spans were clean. - Log entries had the field "daemon" twice, for the daemon that logs and for the one it speaks of. The former is now "host". - "daemon changed" logged numbers for states. DaemonState has a String method, which replaces the copy in operator. - A stop that was cut short ended with or without an error by chance, since the peer service races the ended context. Cut requests are now an error, so that the exit status is 1.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -77,7 +78,8 @@
 
 // Stop leaves the entry directory and hands the scheduling over, goes on
 // accepting for as long as callers may keep the address, and then waits for
-// every request in flight. The end of ctx cuts it short.
+// every request in flight. The end of ctx cuts it short, and requests that are
+// cut off give a *cutError.
 func (c *callers) Stop(ctx context.Context) error {
 	c.view.Leave()
 	c.gw.Drain()
@@ -89,6 +91,18 @@
 	if err == nil {
 		return nil
 	}
-	c.log.Warn("planned stop was cut short", "requests_cut", c.gw.Held(), "err", err)
-	return c.server.Close()
+	cut := c.gw.Held()
+	c.log.Warn("planned stop was cut short", "requests_cut", cut, "err", err)
+	if err := c.server.Close(); err != nil || cut == 0 {
+		return err
+	}
+	return &cutError{requests: cut}
+}
+
+// cutError tells how many requests in flight a planned stop cut off.
+type cutError struct{ requests int }
+
+// Error implements error.
+func (e *cutError) Error() string {
+	return fmt.Sprintf("planned stop was cut short with %d requests in flight", e.requests)
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -75,6 +75,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, completeText(t, first+string(rest)), wantText("long", tokens))
 	assert.NilError(t, <-stopped)
+	assert.Assert(t, strings.Contains(d.logs.String(), `msg="daemon changed" host=entry-2 daemon=entry-1 from=alive to=leaving`))
 	for _, daemon := range staying {
 		assert.Equal(t, daemon.chat(d, "after", 3), wantText("after", 3))
 	}
@@ -109,9 +110,8 @@
 	ctx, cancel := stopContext(&s, nil)
 	defer cancel()
 	daemon.stopped = true
-	// The error tells that the bound came first; the log tells what was cut.
-	_ = daemon.kernel.Stop(ctx)
-	assert.Assert(t, strings.Contains(d.logs.String(), `msg="planned stop was cut short" daemon=entry-1 requests_cut=1`), d.logs.String())
+	assert.ErrorContains(t, daemon.kernel.Stop(ctx), "planned stop was cut short with 1 requests in flight")
+	assert.Assert(t, strings.Contains(d.logs.String(), `msg="planned stop was cut short" host=entry-1 requests_cut=1`), d.logs.String())
 	body, err := io.ReadAll(res.Body)
 	assert.Assert(t, err != nil || !strings.Contains(string(body), "[DONE]"), "a cut answer must not look complete")
 }
--- /dev/null
+++ b/daemon/docs_test.go
@@ -0,0 +1,285 @@
+package daemon
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"io/fs"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// tableRows returns the cells of the rows of a page whose first cell is code.
+func tableRows(t *testing.T, page string, columns int) [][]string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("../docs/operations", page))
+	assert.NilError(t, err)
+	var rows [][]string
+	for line := range strings.Lines(string(data)) {
+		if !strings.HasPrefix(line, "| `") {
+			continue
+		}
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		assert.Equal(t, len(cells), columns, line)
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+			assert.Assert(t, cells[i] != "", line)
+		}
+		cells[0] = strings.Trim(cells[0], "`")
+		rows = append(rows, cells)
+	}
+	return rows
+}
+
+// metricType tells the type of a metric by the fields of its JSON form.
+func metricType(values map[string]any) string {
+	has := func(key string) bool { _, ok := values[key]; return ok }
+	switch {
+	case has("value"):
+		return "gauge"
+	case has("1m.rate"):
+		return "timer"
+	case has("99%"):
+		return "histogram"
+	}
+	return "counter"
+}
+
+// placeholder stands for a name of the bundle or of a fixed set in a row.
+var placeholder = regexp.MustCompile(`<[a-z]+>`)
+
+// rowPattern matches the names that a row documents.
+func rowPattern(name string) *regexp.Regexp {
+	parts := placeholder.Split(name, -1)
+	for i := range parts {
+		parts[i] = regexp.QuoteMeta(parts[i])
+	}
+	return regexp.MustCompile("^" + strings.Join(parts, "[a-z0-9_-]+") + "$")
+}
+
+func TestMetricsPageListsEveryMetricWithItsType(t *testing.T) {
+	d := newDeployment(t)
+	d.start(1)
+	d.roll()
+	d.daemons[0].chat(d, "count this", 3)
+	registered := d.daemons[0].metrics(d)
+	packages := packageNames(t)
+	nameRule := regexp.MustCompile(`^([a-z]+)(\.[a-z0-9_-]+)+$`)
+	rows := tableRows(t, "metrics.md", 5)
+	used := map[string]int{}
+	for name, values := range registered {
+		parts := nameRule.FindStringSubmatch(name)
+		if assert.Check(t, parts != nil, "%s is not dotted and lower case", name) {
+			assert.Check(t, slices.Contains(packages, parts[1]), "%s does not start with a package", name)
+		}
+		i := slices.IndexFunc(rows, func(row []string) bool { return rowPattern(row[0]).MatchString(name) })
+		if assert.Check(t, i >= 0, "%s is not on the page", name) {
+			used[rows[i][0]]++
+			assert.Check(t, rows[i][1] == metricType(values), "%s is a %s", name, metricType(values))
+		}
+	}
+	for _, row := range rows {
+		assert.Check(t, used[row[0]] > 0, "%s is on the page and does not exist", row[0])
+	}
+}
+
+// packageNames returns the names of the top-level packages.
+func packageNames(t *testing.T) []string {
+	t.Helper()
+	entries, err := os.ReadDir("..")
+	assert.NilError(t, err)
+	var names []string
+	for _, e := range entries {
+		if e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	return names
+}
+
+// logEvent is a call on a logger.
+type logEvent struct {
+	message, level string
+	fields         []string
+}
+
+func (e logEvent) row() string {
+	return fmt.Sprintf("%s|%s|%s", e.message, e.level, strings.Join(e.fields, ", "))
+}
+
+func TestLogsPageListsEveryEventWithLevelAndFields(t *testing.T) {
+	var logged []string
+	for _, e := range logEvents(t) {
+		logged = append(logged, e.row())
+		fields := slices.Clone(e.fields)
+		slices.Sort(fields)
+		assert.Check(t, len(slices.Compact(fields)) == len(e.fields), "%s has a field twice", e.message)
+		assert.Check(t, !slices.Contains(e.fields, "host"), "%s has the field of every entry", e.message)
+	}
+	var documented []string
+	for _, row := range tableRows(t, "logs.md", 4) {
+		fields := strings.ReplaceAll(row[2], "`", "")
+		if fields == "none" {
+			fields = ""
+		}
+		documented = append(documented, fmt.Sprintf("%s|%s|%s", row[0], row[1], fields))
+	}
+	slices.Sort(logged)
+	slices.Sort(documented)
+	assert.DeepEqual(t, documented, slices.Compact(logged))
+}
+
+// logEvents finds the calls on loggers in the sources of the daemon.
+func logEvents(t *testing.T) []logEvent {
+	t.Helper()
+	var events []logEvent
+	err := filepath.WalkDir("..", func(path string, e fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if e.IsDir() && slices.Contains([]string{"test", "internal", "ctl", ".git"}, e.Name()) {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		found, err := eventsOf(path)
+		events = append(events, found...)
+		return err
+	})
+	assert.NilError(t, err)
+	return events
+}
+
+var logLevels = []string{"Debug", "Info", "Warn", "Error", "Fatal", "Print"}
+
+// eventsOf finds the calls on loggers in one file. A call with a message or a
+// field that is not a literal is an error.
+func eventsOf(path string) ([]logEvent, error) {
+	files := token.NewFileSet()
+	file, err := parser.ParseFile(files, path, nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	var events []logEvent
+	var failed error
+	ast.Inspect(file, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		f, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok || !slices.Contains(logLevels, f.Sel.Name) || !isLogger(f.X) {
+			return true
+		}
+		event, err := eventOf(f.Sel.Name, call.Args)
+		if err != nil {
+			failed = fmt.Errorf("%s: %w", files.Position(call.Pos()), err)
+		}
+		events = append(events, event)
+		return true
+	})
+	return events, failed
+}
+
+// isLogger reports whether an expression is a logger by its name.
+func isLogger(x ast.Expr) bool {
+	name := ""
+	switch x := x.(type) {
+	case *ast.Ident:
+		name = x.Name
+	case *ast.SelectorExpr:
+		name = x.Sel.Name
+	}
+	return strings.EqualFold(name, "log") || strings.EqualFold(name, "logger")
+}
+
+func eventOf(level string, args []ast.Expr) (logEvent, error) {
+	event := logEvent{level: strings.ToLower(level)}
+	if len(args)%2 != 1 {
+		return event, fmt.Errorf("a log call takes a message and pairs of field and value")
+	}
+	var err error
+	if event.message, err = literal(args[0]); err != nil {
+		return event, err
+	}
+	for i := 1; i < len(args); i += 2 {
+		field, err := literal(args[i])
+		if err != nil {
+			return event, err
+		}
+		event.fields = append(event.fields, field)
+	}
+	return event, nil
+}
+
+func literal(x ast.Expr) (string, error) {
+	basic, ok := x.(*ast.BasicLit)
+	if !ok {
+		return "", fmt.Errorf("message or field is not a literal")
+	}
+	return strconv.Unquote(basic.Value)
+}
+
+func TestTokensAndPromptsAreNeitherLoggedNorTraced(t *testing.T) {
+	const prompt, answerKey, wrongToken = "applicant-4711-confidential", "fee-key-4711", "unknown-token-4711"
+	d := newDeployment(t)
+	d.start(2)
+	d.roll()
+	daemon := d.daemons[0]
+	answer := daemon.chat(d, prompt, 5)
+	send := func(path, body string, header ...string) {
+		res, err := daemon.post(d, path, body, header...)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+	}
+	send("/services/ledger/"+prompt, prompt, "Idempotency-Key", answerKey)
+	send("/services/ledger/fees", prompt, "Idempotency-Key", answerKey) // Another body.
+	send(chatPath, chatBody(prompt, 1), "Authorization", "Bearer "+wrongToken)
+	send(chatPath, `{"model": "`+prompt+`"`, "Jacinththread-Class", "counter")
+	send(chatPath, strings.Replace(chatBody(prompt, 1), "demo-model", prompt, 1))
+	operators := "http://" + daemon.settings.Listen.Operators + "/v1/bundle/proposals/" + "none"
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, operators, nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+wrongToken)
+	res, err := d.http.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+
+	spans := fmt.Sprintf("%+v", d.spans.GetSpans())
+	logs := d.logs.String()
+	assert.Assert(t, strings.Contains(spans, "dispatch") && strings.Contains(logs, "request failed"))
+	for _, secret := range []string{prompt, answerKey, wrongToken, customerToken, testKey, strings.TrimSpace(answer)} {
+		assert.Check(t, !strings.Contains(logs, secret), "the log holds %q", secret)
+		assert.Check(t, !strings.Contains(spans, secret), "the spans hold %q", secret)
+	}
+}
+
+// relativeLink matches the target of a link to another page.
+var relativeLink = regexp.MustCompile(`\]\(([^):#]+)(#[^)]*)?\)`)
+
+func TestLinksBetweenPagesResolve(t *testing.T) {
+	pages, err := filepath.Glob("../docs/operations/*.md")
+	assert.NilError(t, err)
+	assert.Assert(t, len(pages) > 0)
+	for _, page := range pages {
+		data, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, link := range relativeLink.FindAllStringSubmatch(string(data), -1) {
+			_, err := os.Stat(filepath.Join(filepath.Dir(page), link[1]))
+			assert.Check(t, err, "%s links to %s", filepath.Base(page), link[1])
+		}
+	}
+}
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -183,7 +183,7 @@
 func (d *deployment) startOne(s *settings.Settings) *testDaemon {
 	d.t.Helper()
 	logger := log.NewWithOptions(d.logs, log.Options{
-		Level: log.DebugLevel, Formatter: log.LogfmtFormatter, Fields: []any{"daemon", s.Name},
+		Level: log.DebugLevel, Formatter: log.LogfmtFormatter, Fields: []any{"host", s.Name},
 	})
 	tracing := sdktrace.NewTracerProvider(sdktrace.WithSyncer(d.spans))
 	k, err := kernel.New(logger, Modules(s, logger, tracing.Tracer("test"))...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,8 +112,7 @@
 	}
 	e := asError(err)
 	g.counters.failed(e.Status)
-	g.cfg.Log.Info("request failed", "request_id", req.id, "customer", req.customerName(),
-		"class", req.className(), "code", e.Code, "status", e.Status, "err", err)
+	g.logFailure(req, e, err)
 	if req.begun {
 		// The answer is cut without its terminal marker.
 		panic(http.ErrAbortHandler)
@@ -121,6 +120,17 @@
 	writeError(w, e, req.run)
 }
 
+// logFailure logs a failed request. The messages of errors for the caller may
+// quote what it sent and are left out.
+func (g *Gateway) logFailure(req *request, e *Error, err error) {
+	g.cfg.Log.Info("request failed", "request_id", req.id, "customer", req.customerName(),
+		"class", req.className(), "code", e.Code, "status", e.Status)
+	var known *Error
+	if !errors.As(err, &known) {
+		g.cfg.Log.Error("request met an internal error", "request_id", req.id, "err", err)
+	}
+}
+
 // callerGone reports whether nobody waits for the answer. net/http ends the
 // request's context after a timeout of its body as well, but then the caller
 // still waits.
--- a/membership/view.go
+++ b/membership/view.go
@@ -13,6 +13,21 @@
 	Dead
 )
 
+// String returns the state in lower case.
+func (s DaemonState) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
+
 // Daemon describes one daemon of the system.
 type Daemon struct {
 	Name        string
--- a/operator/lists.go
+++ b/operator/lists.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
 
@@ -33,7 +32,7 @@
 	out := membersAnswer{Members: []member{}}
 	for _, d := range a.cfg.View.Daemons() {
 		out.Members = append(out.Members, member{
-			Name: d.Name, State: stateName(d.State), Region: d.Region, Domain: d.Domain,
+			Name: d.Name, State: d.State.String(), Region: d.Region, Domain: d.Domain,
 			PeerAddr: d.PeerAddr, CallerAddr: d.CallerAddr,
 			BundleVersion: a.versionOn(d.Name, d.BundleVersion), Load: d.Load,
 		})
@@ -41,20 +40,6 @@
 	return ok(out)
 }
 
-func stateName(s membership.DaemonState) string {
-	switch s {
-	case membership.Alive:
-		return "alive"
-	case membership.Suspect:
-		return "suspect"
-	case membership.Leaving:
-		return "leaving"
-	case membership.Dead:
-		return "dead"
-	}
-	return "unknown"
-}
-
 // serversAnswer lists the backend servers of all services.
 type serversAnswer struct {
 	Servers []server `json:"servers"`
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -14,9 +14,9 @@
 // timeFormat is RFC 3339 with milliseconds.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// NewLogger returns a logger that writes to w and names the daemon in every
-// entry.
-func NewLogger(w io.Writer, t settings.Telemetry, daemon string) (*log.Logger, error) {
+// NewLogger returns a logger that writes to w and names the daemon's host in
+// every entry. Events name other daemons in the field "daemon".
+func NewLogger(w io.Writer, t settings.Telemetry, host string) (*log.Logger, error) {
 	level, err := log.ParseLevel(t.LogLevel)
 	if err != nil {
 		return nil, trace.Wrap(err, "log level %q", t.LogLevel)
@@ -31,7 +31,7 @@
 		ReportTimestamp: true,
 		TimeFormat:      timeFormat,
 		TimeFunction:    log.NowUTC,
-		Fields:          []any{"daemon", daemon},
+		Fields:          []any{"host", host},
 	})
 	return logger, nil
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -105,7 +105,7 @@
 	l.Warn("link is silent", "peer", "entry-2")
 	var entry map[string]any
 	assert.NilError(t, json.Unmarshal(out.Bytes(), &entry))
-	assert.Equal(t, entry["daemon"], "entry-1")
+	assert.Equal(t, entry["host"], "entry-1")
 	assert.Equal(t, entry["msg"], "link is silent")
 	assert.Equal(t, entry["peer"], "entry-2")
 	_, err = NewLogger(&out, settings.Telemetry{LogLevel: "loud", LogFormat: "json"}, "")
