Require an advertised address for a port that the system chooses

A daemon with port 0 for callers or peers and no advertised address passed the check and told everyone to use port 0, where nobody reaches it. Cause: the check only looked for wildcard addresses. TestChosenPortsNeedAnAdvertisedAddress failed before (no finding) and passes now; operators' port 0 stays allowed, since nobody is told that address.

--- a/settings/address.go
+++ b/settings/address.go
@@ -51,7 +51,7 @@
 // advertised checks the address that others use to reach a bound one.
 func (c *checker) advertised(field, value string, bound boundAddr) {
 	if value == "" {
-		if bound.addr.IsValid() && bound.addr.Addr().IsUnspecified() {
+		if bound.addr.IsValid() && !reachable(bound.addr) {
 			c.report(field, "value is required because %s (%s) is no address that others can use", bound.field, bound.addr)
 		}
 		return
@@ -59,6 +59,12 @@
 	c.remote(field, value)
 }
 
+// reachable reports whether others can connect to a bound address as it is
+// configured: it is no wildcard and the system does not choose the port.
+func reachable(addr netip.AddrPort) bool {
+	return !addr.Addr().IsUnspecified() && addr.Port() != 0
+}
+
 // remote checks an address that others connect to.
 func (c *checker) remote(field, value string) {
 	addr, err := netip.ParseAddrPort(value)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -94,6 +94,19 @@
 s:4:48: platform.timeout_ms: syntax error: invalid literal: 1s`))
 }
 
+// Nobody finds a port that the system chose unless it is advertised.
+func TestChosenPortsNeedAnAdvertisedAddress(t *testing.T) {
+	text := `{
+  "name": "entry-1", "region": "utara", "domain": "prai",
+  "listen": {"callers": "10.0.0.1:0", "peers": "10.0.0.1:0", "operators": "10.0.0.1:0"},
+  "advertise": {"peers": "10.0.0.1:81"},
+  "platform": {"url": "http://10.0.0.9:90"},
+  "peers": {"keys": ["00112233445566778899aabbccddeeff"]},
+}`
+	_, err := Parse("s", []byte(text))
+	assert.Error(t, err, "s:4:16: advertise.callers: value is required because listen.callers (10.0.0.1:0) is no address that others can use")
+}
+
 func TestParseChecksEveryBound(t *testing.T) {
 	for _, b := range bounds {
 		group, field, _ := strings.Cut(b.field, ".")
