Look up the services of a module with one error check

The constructors of the daemon's modules repeated the lookup and its error check up to five times each, and modules.go held the list of modules with all of their constructors. finder collects the first error; the constructors are in network.go (platform, peer, membership) and routing.go (the rest).

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -34,13 +34,11 @@
 }
 
 func (p *parts) newCallers(r kernel.Registry) (kernel.Service, error) {
-	m, err := kernel.Get[*membership.Service](r, membershipName)
-	if err != nil {
-		return nil, err
-	}
-	g, err := kernel.Get[gatewayService](r, gatewayName)
-	if err != nil {
-		return nil, err
+	f := finder{registry: r}
+	m := find[*membership.Service](&f, membershipName)
+	g := find[gatewayService](&f, gatewayName)
+	if f.err != nil {
+		return nil, f.err
 	}
 	limits := p.settings.Callers
 	return &callers{
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -24,17 +24,12 @@
 }
 
 func (p *parts) newOperators(r kernel.Registry) (kernel.Service, error) {
-	store, err := kernel.Get[platformService](r, platformName)
-	if err != nil {
-		return nil, err
-	}
-	c, err := p.core(r)
-	if err != nil {
-		return nil, err
-	}
-	queues, err := kernel.Get[*scheduler.Service](r, schedulerName)
-	if err != nil {
-		return nil, err
+	f := finder{registry: r}
+	store := find[platformService](&f, platformName)
+	c := findCore(&f)
+	queues := find[*scheduler.Service](&f, schedulerName)
+	if f.err != nil {
+		return nil, f.err
 	}
 	router := mux.NewRouter()
 	telemetry.Routes(router, p.metrics, func() error { return ready(c.bundles) })
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -24,17 +24,12 @@
 }
 
 func (p *parts) newReport(r kernel.Registry) (kernel.Service, error) {
-	m, err := kernel.Get[*membership.Service](r, membershipName)
-	if err != nil {
-		return nil, err
-	}
-	bundles, err := kernel.Get[*bundle.Activator](r, bundleName)
-	if err != nil {
-		return nil, err
-	}
-	g, err := kernel.Get[gatewayService](r, gatewayName)
-	if err != nil {
-		return nil, err
+	f := finder{registry: r}
+	m := find[*membership.Service](&f, membershipName)
+	bundles := find[*bundle.Activator](&f, bundleName)
+	g := find[gatewayService](&f, gatewayName)
+	if f.err != nil {
+		return nil, f.err
 	}
 	return &report{view: m, bundles: bundles, gateway: g.Gateway}, nil
 }
--- /dev/null
+++ b/daemon/routing.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/claims"
+	"github.com/jacinththread/jacinththread/dispatch"
+	"github.com/jacinththread/jacinththread/entrydir"
+	"github.com/jacinththread/jacinththread/gateway"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/reservation"
+	"github.com/jacinththread/jacinththread/scheduler"
+)
+
+func (p *parts) newBundle(r kernel.Registry) (kernel.Service, error) {
+	f := finder{registry: r}
+	node := find[*peer.Node](&f, peerName)
+	store := find[platformService](&f, platformName)
+	m := find[*membership.Service](&f, membershipName)
+	if f.err != nil {
+		return nil, f.err
+	}
+	return bundle.NewActivator(bundle.Config{
+		Store:   store,
+		Bus:     node,
+		Region:  p.settings.Region,
+		Peers:   func() []bundle.Peer { return p.bundlePeers(m) },
+		Log:     p.log,
+		Metrics: p.metrics,
+	}), nil
+}
+
+// bundlePeers lists the live daemons and the seeds that are not live.
+func (p *parts) bundlePeers(m *membership.Service) []bundle.Peer {
+	var out []bundle.Peer
+	live := map[string]bool{}
+	for _, d := range m.Daemons() {
+		live[d.Name] = true
+		out = append(out, bundle.Peer{Name: d.Name, Region: d.Region, Live: true})
+	}
+	for _, seed := range p.settings.Peers.Seeds {
+		if !live[seed.Name] {
+			out = append(out, bundle.Peer{Name: seed.Name, Region: p.settings.Region})
+		}
+	}
+	return out
+}
+
+func (p *parts) newScheduler(r kernel.Registry) (kernel.Service, error) {
+	f := finder{registry: r}
+	c := findCore(&f)
+	if f.err != nil {
+		return nil, f.err
+	}
+	return scheduler.New(scheduler.Config{
+		Bus:        c.node,
+		View:       c.view,
+		Bundles:    c.bundles,
+		QueueLimit: p.settings.Routing.QueueLimit,
+		GrantFor:   time.Duration(p.settings.Routing.GrantMs) * time.Millisecond,
+		Log:        p.log,
+		Metrics:    p.metrics,
+		Tracer:     p.tracer,
+	}), nil
+}
+
+type reservationService struct {
+	passive
+	*reservation.Manager
+}
+
+func (p *parts) newReservation(r kernel.Registry) (kernel.Service, error) {
+	f := finder{registry: r}
+	c := findCore(&f)
+	if f.err != nil {
+		return nil, f.err
+	}
+	return reservationService{Manager: reservation.NewManager(reservation.Config{
+		Bus:     c.node,
+		View:    c.view,
+		Bundles: c.bundles,
+		Count:   p.settings.Routing.Reservations,
+		Seed:    p.seed(),
+		Metrics: p.metrics,
+	})}, nil
+}
+
+// seed differs between daemons and between lives of one daemon. Request ids
+// start at it, so that a restarted gateway reuses none.
+func (p *parts) seed() uint64 {
+	h := fnv.New32a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(p.settings.Name))
+	return p.started<<20 ^ uint64(h.Sum32())
+}
+
+// core is what scheduling services share.
+type core struct {
+	node    *peer.Node
+	view    *membership.Service
+	bundles *bundle.Activator
+}
+
+// findCore returns what scheduling services share.
+func findCore(f *finder) core {
+	return core{
+		node:    find[*peer.Node](f, peerName),
+		view:    find[*membership.Service](f, membershipName),
+		bundles: find[*bundle.Activator](f, bundleName),
+	}
+}
+
+type dispatchService struct {
+	passive
+	*dispatch.Client
+}
+
+func (p *parts) newDispatch(kernel.Registry) (kernel.Service, error) {
+	return dispatchService{Client: dispatch.New(dispatch.Config{
+		Silence: time.Duration(p.settings.Routing.SilenceMs) * time.Millisecond,
+		Metrics: p.metrics,
+	})}, nil
+}
+
+func (p *parts) newClaims(r kernel.Registry) (kernel.Service, error) {
+	f := finder{registry: r}
+	store := find[platformService](&f, platformName)
+	m := find[*membership.Service](&f, membershipName)
+	bundles := find[*bundle.Activator](&f, bundleName)
+	if f.err != nil {
+		return nil, f.err
+	}
+	o := owners{view: m, self: p.settings.Name}
+	return claims.New(claims.Config{
+		Store:      store,
+		Owner:      ownerName(p.settings.Name, p.started),
+		OwnerAlive: o.alive,
+		Retention:  func() time.Duration { return retention(bundles) },
+		Sweeps:     o.sweeps,
+		Log:        p.log,
+		Metrics:    p.metrics,
+	}), nil
+}
+
+type gatewayService struct {
+	passive
+	*gateway.Gateway
+}
+
+func (p *parts) newGateway(r kernel.Registry) (kernel.Service, error) {
+	f := finder{registry: r}
+	m := find[*membership.Service](&f, membershipName)
+	bundles := find[*bundle.Activator](&f, bundleName)
+	manager := find[reservationService](&f, reservationName)
+	backends := find[dispatchService](&f, dispatchName)
+	claimer := find[*claims.Service](&f, claimsName)
+	if f.err != nil {
+		return nil, f.err
+	}
+	limits := p.settings.Callers
+	ttl := time.Duration(limits.EntryTTLMs) * time.Millisecond
+	return gatewayService{Gateway: gateway.New(gateway.Config{
+		Bundles:      bundles,
+		View:         m,
+		Reservations: manager.Manager,
+		Backends:     backends.Client,
+		Claims:       claimer,
+		Limits:       limits,
+		Entries:      entrydir.New(m, limits.EntryCount, ttl),
+		Log:          p.log,
+		Metrics:      p.metrics,
+		Tracer:       p.tracer,
+	})}, nil
+}
