--- a/policy/slots.go
+++ b/policy/slots.go
@@ -5,12 +5,18 @@
 // Why slots adapt: the number of requests a model engine can batch within the
 // latency targets depends on the model, the prompts and the machine, and is not
 // known in advance. Additive increase while the targets hold and the slots are
-// in use, and multiplicative decrease when more requests miss than the class
-// promises, finds it and follows it.
+// in use, and multiplicative decrease when more requests come near their targets
+// than the classes promise, finds it and follows it. A late first token counts
+// before it misses, because the request may also have waited for its slot. Every request is held to
+// the pool's strictest token gap, because all share the batch.
 
 const (
-	slotsDecrease = 0.8
-	slotsIncrease = 1.0
+	// firstTokenHeadroom and gapHeadroom are the parts of the targets that the
+	// server itself may use.
+	firstTokenHeadroom = 0.85
+	gapHeadroom        = 0.92
+	slotsDecrease      = 0.9
+	slotsIncrease      = 1.0
 	// minSlotWindow is the least number of finished requests judged together.
 	minSlotWindow = 8
 	// minSlotPeriod is the least time between two changes.
@@ -36,13 +42,20 @@
 	Target   Target
 	// Failed is set when the server broke the request or fell silent.
 	Failed bool
+	// Started is when the request was sent; zero if unknown.
+	Started time.Time
 }
 
-// Misses reports whether the request missed one of its targets.
-func (o Observation) Misses() bool {
-	late := o.Target.FirstToken > 0 && o.FirstToken > o.Target.FirstToken
-	slow := o.Target.TokenGap > 0 && o.TokenGap > o.Target.TokenGap
-	return o.Failed || late || slow
+// Strained reports whether the server failed the request, used more than its
+// part of the target for the first token, or of the one for the token gap.
+func (o Observation) Strained() bool {
+	return o.Failed ||
+		exceeds(o.FirstToken, o.Target.FirstToken, firstTokenHeadroom) ||
+		exceeds(o.TokenGap, o.Target.TokenGap, gapHeadroom)
+}
+
+func exceeds(d, target time.Duration, part float64) bool {
+	return target > 0 && float64(d) > part*float64(target)
 }
 
 // Slots is the adaptive number of concurrent requests of one server.
@@ -50,7 +63,7 @@
 	limit     float64
 	max       int
 	finished  int
-	misses    float64
+	strained  float64
 	allowed   float64
 	saturated bool
 	changed   time.Time
@@ -82,19 +95,19 @@
 // Observe judges a finished request and may change the number of slots.
 func (s *Slots) Observe(now time.Time, o Observation) {
 	s.finished++
-	if o.Misses() {
-		s.misses++
+	if o.Strained() {
+		s.strained++
 	}
 	s.allowed += 1 - o.Target.Promise
 	if s.finished < max(minSlotWindow, s.Limit()) || now.Sub(s.changed) < minSlotPeriod {
 		return
 	}
-	// One miss alone is within any promise below one.
-	if s.misses > max(1, s.allowed) {
+	// One request alone is within any promise below one.
+	if s.strained > max(1, s.allowed) {
 		s.limit = max(1, s.limit*slotsDecrease)
-	} else if s.saturated && s.misses <= s.allowed {
+	} else if s.saturated && s.strained <= s.allowed {
 		s.limit = min(float64(s.max), s.limit+slotsIncrease)
 	}
-	s.finished, s.misses, s.allowed, s.saturated = 0, 0, 0, false
+	s.finished, s.strained, s.allowed, s.saturated = 0, 0, 0, false
 	s.changed = now
 }
