--- a/daemon/docs_test.go
+++ b/daemon/docs_test.go
@@ -278,8 +278,20 @@
 		data, err := os.ReadFile(page)
 		assert.NilError(t, err)
 		for _, link := range relativeLink.FindAllStringSubmatch(string(data), -1) {
-			_, err := os.Stat(filepath.Join(filepath.Dir(page), link[1]))
+			target, err := os.ReadFile(filepath.Join(filepath.Dir(page), link[1]))
 			assert.Check(t, err, "%s links to %s", filepath.Base(page), link[1])
+			assert.Check(t, link[2] == "" || slices.Contains(anchors(string(target)), link[2]), "%s links to %s", filepath.Base(page), link[0])
 		}
 	}
 }
+
+// anchors returns the anchors of a page's headings.
+func anchors(page string) []string {
+	var out []string
+	for line := range strings.Lines(page) {
+		if text, ok := strings.CutPrefix(strings.TrimLeft(line, "#"), " "); ok && line[0] == '#' {
+			out = append(out, "#"+strings.ReplaceAll(strings.ToLower(strings.TrimSpace(text)), " ", "-"))
+		}
+	}
+	return out
+}
