Close idle connections to the platform and to backend servers at the stop

A stopped daemon left goroutines on idle connections, which whole-daemon tests in one process saw (TestPlannedStopLeavesNoGoroutine failed before).

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
@@ -198,3 +199,22 @@
 	assert.Equal(t, len(d.ledger.Runs()), 0)
 	d.platform.SetFaults(standinplatform.Faults{})
 }
+
+func TestPlannedStopLeavesNoGoroutine(t *testing.T) {
+	d := newDeployment(t)
+	before := goleak.IgnoreCurrent()
+	d.start(2)
+	d.roll()
+	d.daemons[0].chat(d, "x", 2)
+	res, err := d.daemons[0].post(d, "/services/ledger/fees", "{}", "Idempotency-Key", "fee-3")
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	for _, daemon := range d.daemons {
+		daemon.stopped = true
+		assert.NilError(t, daemon.kernel.Stop(t.Context()))
+	}
+	d.http.CloseIdleConnections()
+	d.kv.Close()
+	// go-metrics ticks all meters of the process in one goroutine.
+	goleak.VerifyNone(t, before, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -76,6 +76,7 @@
 	ledger      *plain.Server
 	hosts       []platform.Host
 	http        *http.Client
+	kv          *httpstore.Client
 	daemons     []*testDaemon
 	logs        *buffer
 	spans       *tracetest.InMemoryExporter
@@ -206,10 +207,11 @@
 // roll puts a first bundle in force and waits for it on every daemon.
 func (d *deployment) roll() {
 	d.t.Helper()
-	kv, err := httpstore.New(d.platformURL, time.Second)
+	var err error
+	d.kv, err = httpstore.New(d.platformURL, time.Second)
 	assert.NilError(d.t, err)
-	d.t.Cleanup(kv.Close)
-	store := bundle.NewStore(kv)
+	d.t.Cleanup(d.kv.Close)
+	store := bundle.NewStore(d.kv)
 	ctx := d.t.Context()
 	p, err := store.Propose(ctx, bundle.Change{ID: "first", Content: bundleText}, "alia")
 	assert.NilError(d.t, err)
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/jacinththread/jacinththread/kernel"
@@ -14,6 +15,12 @@
 	*httpstore.Client
 }
 
+// Stop implements kernel.Service.
+func (s platformService) Stop(context.Context) error {
+	s.Close()
+	return nil
+}
+
 func (p *parts) newPlatform(kernel.Registry) (kernel.Service, error) {
 	timeout := time.Duration(p.settings.Platform.TimeoutMs) * time.Millisecond
 	client, err := httpstore.New(p.settings.Platform.URL, timeout, httpstore.WithMetrics(p.metrics))
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"hash/fnv"
 	"time"
 
@@ -119,6 +120,12 @@
 	*dispatch.Client
 }
 
+// Stop implements kernel.Service.
+func (s dispatchService) Stop(context.Context) error {
+	s.Close()
+	return nil
+}
+
 func (p *parts) newDispatch(kernel.Registry) (kernel.Service, error) {
 	return dispatchService{Client: dispatch.New(dispatch.Config{
 		Silence: time.Duration(p.settings.Routing.SilenceMs) * time.Millisecond,
