Keep the answers of the operators' interface in one package

operator wrote and ctl read the same documents with types of their own, so that a field could be added on one side only. Both use operatorapi now.

--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -14,6 +14,7 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/ctl/client"
+	"github.com/jacinththread/jacinththread/operator/operatorapi"
 )
 
 // operator returns the client for the operators' interface.
@@ -89,7 +90,7 @@
 			ChangeID: c.ChangeID, Base: base, Content: string(data), Note: c.Note,
 		})
 	}
-	err = ask(ctx, a, propose, func(p proposed) error {
+	err = ask(ctx, a, propose, func(p operatorapi.Proposed) error {
 		return a.printFields("Change", p.ChangeID, "Digest", p.Digest)
 	})
 	if mayHaveRun(err) {
@@ -131,7 +132,7 @@
 	if err != nil {
 		return 0, err
 	}
-	status, err := decode[bundleStatus](doc)
+	status, err := decode[operatorapi.Status](doc)
 	return status.Current.Version, err
 }
 
@@ -147,7 +148,7 @@
 	return ask(ctx, a, review, a.printReview)
 }
 
-func (a *app) printReview(r bundleReview) error {
+func (a *app) printReview(r operatorapi.Review) error {
 	p := r.Proposal
 	if err := a.printFields("Change", p.ChangeID, "Base version", p.Base, "Version in force", r.Current.Version,
 		"Proposed by", p.ProposedBy, "Proposed at", timeCell(p.ProposedAt), "Approved by", p.ApprovedBy,
--- a/ctl/bundle_show.go
+++ b/ctl/bundle_show.go
@@ -4,15 +4,17 @@
 	"context"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/ctl/client"
+	"github.com/jacinththread/jacinththread/operator/operatorapi"
 )
 
 type statusCommand struct{ runnable }
 
 func (*statusCommand) run(ctx context.Context, a *app) error {
-	return ask(ctx, a, contextFirst((*client.Operator).Status), func(s bundleStatus) error {
+	return ask(ctx, a, contextFirst((*client.Operator).Status), func(s operatorapi.Status) error {
 		if err := a.printFields("Version in force", s.Current.Version, "Change", s.Current.ChangeID,
 			"Rolled by", s.Current.RolledBy, "Digest", s.Current.Digest); err != nil {
 			return err
@@ -38,7 +40,7 @@
 type historyCommand struct{ runnable }
 
 func (*historyCommand) run(ctx context.Context, a *app) error {
-	return ask(ctx, a, contextFirst((*client.Operator).History), func(h bundleHistory) error {
+	return ask(ctx, a, contextFirst((*client.Operator).History), func(h operatorapi.History) error {
 		t := newTable("VERSION", "BASE", "CHANGE", "PROPOSED BY", "APPROVED BY", "ROLLED BY", "ROLLED AT", "NOTE")
 		for _, r := range h.Versions {
 			t.add(r.Version, r.Base, r.ChangeID, r.ProposedBy, r.ApprovedBy, r.RolledBy, timeCell(r.RolledAt), r.Note)
@@ -112,6 +114,13 @@
 	if err != nil {
 		return "", err
 	}
-	review, err := decode[bundleReview](doc)
+	review, err := decode[operatorapi.Review](doc)
 	return review.Proposal.Content, err
 }
+
+func timeCell(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format(time.RFC3339)
+}
--- a/ctl/lists.go
+++ b/ctl/lists.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/jacinththread/jacinththread/ctl/client"
-	"github.com/jacinththread/jacinththread/scheduler"
+	"github.com/jacinththread/jacinththread/operator/operatorapi"
 )
 
 // listed asks for one of the lists of the operators' interface.
@@ -12,26 +12,10 @@
 	return func(ctx context.Context, o *client.Operator) (client.Document, error) { return o.List(ctx, name) }
 }
 
-// memberList is the daemons that the asked one knows.
-type memberList struct {
-	Members []member `json:"members"`
-}
-
-type member struct {
-	Name          string `json:"name"`
-	State         string `json:"state"`
-	Region        string `json:"region"`
-	Domain        string `json:"domain"`
-	PeerAddr      string `json:"peer_addr"`
-	CallerAddr    string `json:"caller_addr"`
-	BundleVersion uint64 `json:"bundle_version"`
-	Load          uint32 `json:"load"`
-}
-
 type membersCommand struct{ runnable }
 
 func (*membersCommand) run(ctx context.Context, a *app) error {
-	return ask(ctx, a, listed("members"), func(l memberList) error {
+	return ask(ctx, a, listed("members"), func(l operatorapi.Members) error {
 		t := newTable("NAME", "STATE", "REGION", "DOMAIN", "CALLERS", "PEERS", "BUNDLE", "REQUESTS")
 		for _, m := range l.Members {
 			t.add(m.Name, m.State, m.Region, m.Domain, m.CallerAddr, m.PeerAddr, m.BundleVersion, m.Load)
@@ -40,25 +24,10 @@
 	})
 }
 
-// serverList is the backend servers that the asked daemon knows.
-type serverList struct {
-	Servers []server `json:"servers"`
-}
-
-type server struct {
-	Name    string `json:"name"`
-	Addr    string `json:"addr"`
-	Service string `json:"service"`
-	Region  string `json:"region"`
-	Domain  string `json:"domain"`
-	Owner   string `json:"owner"`
-	Leaving bool   `json:"leaving"`
-}
-
 type serversCommand struct{ runnable }
 
 func (*serversCommand) run(ctx context.Context, a *app) error {
-	return ask(ctx, a, listed("servers"), func(l serverList) error {
+	return ask(ctx, a, listed("servers"), func(l operatorapi.Servers) error {
 		t := newTable("NAME", "ADDRESS", "SERVICE", "REGION", "DOMAIN", "OWNER", "STATE")
 		for _, s := range l.Servers {
 			state := "live"
@@ -71,15 +40,10 @@
 	})
 }
 
-// queueList is the queues of the scheduler on the asked daemon.
-type queueList struct {
-	Queues []scheduler.PoolSnapshot `json:"queues"`
-}
-
 type queuesCommand struct{ runnable }
 
 func (*queuesCommand) run(ctx context.Context, a *app) error {
-	return ask(ctx, a, listed("queues"), func(l queueList) error {
+	return ask(ctx, a, listed("queues"), func(l operatorapi.Queues) error {
 		t := newTable("POOL", "TIER", "WAITING", "RUNNING", "SLOTS OF THE POOL")
 		for _, q := range l.Queues {
 			t.add(q.Pool, q.Tier, q.Waiting, q.Running, q.Slots)
--- a/ctl/operator_flow_test.go
+++ b/ctl/operator_flow_test.go
@@ -11,6 +11,7 @@
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/operator"
+	"github.com/jacinththread/jacinththread/operator/operatorapi"
 	"github.com/jacinththread/jacinththread/platform/platformtest"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
@@ -137,7 +138,7 @@
 	t.Helper()
 	got := as("a", "--json", "bundle", "propose", "--change-id", id, "--note", "n", file)
 	assert.Equal(t, got.code, ExitOK, got.err)
-	var p proposed
+	var p operatorapi.Proposed
 	assert.NilError(t, json.Unmarshal([]byte(got.out), &p))
 	assert.Equal(t, p.ChangeID, id)
 	return p.Digest
--- a/operator/bundles.go
+++ b/operator/bundles.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/finding"
+	"github.com/jacinththread/jacinththread/operator/operatorapi"
 )
 
 // proposeRequest is the body of a proposal.
@@ -20,13 +21,6 @@
 	Note     string `json:"note"`
 }
 
-// proposeAnswer names what reviewers approve.
-type proposeAnswer struct {
-	ChangeID string       `json:"change_id"`
-	Digest   string       `json:"digest"`
-	Findings finding.List `json:"findings"`
-}
-
 func (a *api) propose(r *http.Request) (reply, error) {
 	if token(r) == "" {
 		return reply{}, bundle.ErrNotAnOperator
@@ -52,18 +46,10 @@
 		return reply{}, err
 	}
 	a.cfg.Log.Info("bundle change proposed", "change_id", p.ChangeID, "operator", o.Name, "digest", p.Digest)
-	out := proposeAnswer{ChangeID: p.ChangeID, Digest: p.Digest, Findings: finding.List{}}
+	out := operatorapi.Proposed{ChangeID: p.ChangeID, Digest: p.Digest, Findings: finding.List{}}
 	return reply{status: http.StatusCreated, body: out}, nil
 }
 
-// reviewAnswer is what an operator reads before approving a change.
-type reviewAnswer struct {
-	Proposal *bundle.Proposal `json:"proposal"`
-	Findings finding.List     `json:"findings"`
-	Current  bundle.Pointer   `json:"current"`
-	Diff     string           `json:"diff"`
-}
-
 func (a *api) review(r *http.Request) (reply, error) {
 	change := mux.Vars(r)["change"]
 	if _, err := a.writerOf(r, change); err != nil {
@@ -73,7 +59,7 @@
 	if err != nil {
 		return reply{}, err
 	}
-	out := reviewAnswer{Proposal: review.Proposal, Findings: finding.List{}, Current: review.Current, Diff: review.Diff}
+	out := operatorapi.Review{Proposal: *review.Proposal, Findings: finding.List{}, Current: review.Current, Diff: review.Diff}
 	out.Findings = append(out.Findings, review.Findings.Sorted()...)
 	return ok(out)
 }
@@ -115,24 +101,11 @@
 	return ok(p)
 }
 
-// statusAnswer tells which version is in force where.
-type statusAnswer struct {
-	// Current is the version in force by the store, or on this daemon while the
-	// store is down; zero if there is none.
-	Current bundle.Pointer  `json:"current"`
-	Daemons []daemonVersion `json:"daemons"`
-}
-
-type daemonVersion struct {
-	Name    string `json:"name"`
-	Version uint64 `json:"version"`
-}
-
 func (a *api) status(r *http.Request) (reply, error) {
 	_, err := a.reader(r)
 	if errors.Is(err, bundle.ErrNoVersion) {
 		// Nobody can be known before the first version, and nothing is told.
-		return ok(statusAnswer{Daemons: []daemonVersion{}})
+		return ok(operatorapi.Status{Daemons: []operatorapi.DaemonVersion{}})
 	}
 	if err != nil {
 		return reply{}, err
@@ -144,9 +117,9 @@
 	if err != nil {
 		return reply{}, err
 	}
-	out := statusAnswer{Current: current, Daemons: []daemonVersion{}}
+	out := operatorapi.Status{Current: current, Daemons: []operatorapi.DaemonVersion{}}
 	for _, d := range a.cfg.View.Daemons() {
-		out.Daemons = append(out.Daemons, daemonVersion{Name: d.Name, Version: a.versionOn(d.Name, d.BundleVersion)})
+		out.Daemons = append(out.Daemons, operatorapi.DaemonVersion{Name: d.Name, Version: a.versionOn(d.Name, d.BundleVersion)})
 	}
 	return ok(out)
 }
@@ -159,11 +132,6 @@
 	return reported
 }
 
-// historyAnswer lists versions, the newest first, without their content.
-type historyAnswer struct {
-	Versions []*bundle.Record `json:"versions"`
-}
-
 func (a *api) history(r *http.Request) (reply, error) {
 	if _, err := a.reader(r); err != nil {
 		return reply{}, err
@@ -175,7 +143,7 @@
 	for _, v := range records {
 		v.Content = ""
 	}
-	return ok(historyAnswer{Versions: records})
+	return ok(operatorapi.History{Versions: records})
 }
 
 func (a *api) version(r *http.Request) (reply, error) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/operator/operatorapi"
 	"github.com/jacinththread/jacinththread/platform/platformtest"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
@@ -72,20 +73,20 @@
 
 // answer is a decoded answer of any call.
 type answer struct {
-	Error    errorDetail       `json:"error"`
-	Digest   string            `json:"digest"`
-	Version  uint64            `json:"version"`
-	Approved string            `json:"approved_by"`
-	RolledBy string            `json:"rolled_by"`
-	Content  string            `json:"content"`
-	Diff     string            `json:"diff"`
-	Current  bundle.Pointer    `json:"current"`
-	Daemons  []daemonVersion   `json:"daemons"`
-	Versions []bundle.Record   `json:"versions"`
-	Members  []member          `json:"members"`
-	Servers  []server          `json:"servers"`
-	Queues   []json.RawMessage `json:"queues"`
-	Proposal *bundle.Proposal  `json:"proposal"`
+	Error    errorDetail                 `json:"error"`
+	Digest   string                      `json:"digest"`
+	Version  uint64                      `json:"version"`
+	Approved string                      `json:"approved_by"`
+	RolledBy string                      `json:"rolled_by"`
+	Content  string                      `json:"content"`
+	Diff     string                      `json:"diff"`
+	Current  bundle.Pointer              `json:"current"`
+	Daemons  []operatorapi.DaemonVersion `json:"daemons"`
+	Versions []bundle.Record             `json:"versions"`
+	Members  []operatorapi.Member        `json:"members"`
+	Servers  []operatorapi.Server        `json:"servers"`
+	Queues   []json.RawMessage           `json:"queues"`
+	Proposal *bundle.Proposal            `json:"proposal"`
 }
 
 // call sends a request and checks the status.
@@ -141,7 +142,7 @@
 	h.rollFirst()
 	status := h.get(tokenA, "/v1/bundle/status")
 	assert.Equal(t, status.Current.ChangeID, "first")
-	assert.DeepEqual(t, status.Daemons, []daemonVersion{{"entry-a", 1}, {"entry-b", 1}})
+	assert.DeepEqual(t, status.Daemons, []operatorapi.DaemonVersion{{Name: "entry-a", Version: 1}, {Name: "entry-b", Version: 1}})
 	h.call(http.StatusUnauthorized, "", http.MethodGet, "/v1/bundle/status", nil)
 }
 
