Count the majority of a start without the store over the host list

Cause: dead seeds of the settings counted as peers, so after hosts came back under new names a start during a store outage waited for a majority that no longer exists. Excluded: the activator, whose rule is right for the list it is given. Change: the last host list stands for the listed daemons; the seeds only until one was read. Conclusion: replaced hosts do not hold up a start.

--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -29,23 +29,38 @@
 		Store:   store,
 		Bus:     node,
 		Region:  p.settings.Region,
-		Peers:   func() []bundle.Peer { return p.bundlePeers(m) },
+		Peers:   func() []bundle.Peer { return bundlePeers(m.Daemons(), m.Listed(), p.seedNames()) },
 		Log:     p.log,
 		Metrics: p.metrics,
 	}), nil
 }
 
-// bundlePeers lists the live daemons and the seeds that are not live.
-func (p *parts) bundlePeers(m *membership.Service) []bundle.Peer {
+// seedNames returns the names of the configured seeds.
+func (p *parts) seedNames() []string {
+	var names []string
+	for _, seed := range p.settings.Peers.Seeds {
+		names = append(names, seed.Name)
+	}
+	return names
+}
+
+// bundlePeers returns the live daemons, and as not live those of the host list
+// that are not among them. While no list was read, the seeds stand for it: they
+// may name hosts that were replaced, and a majority counted over them would
+// never be reached.
+func bundlePeers(live []membership.Daemon, listed, seeds []string) []bundle.Peer {
+	if len(listed) == 0 {
+		listed = seeds
+	}
 	var out []bundle.Peer
-	live := map[string]bool{}
-	for _, d := range m.Daemons() {
-		live[d.Name] = true
+	known := map[string]bool{}
+	for _, d := range live {
+		known[d.Name] = true
 		out = append(out, bundle.Peer{Name: d.Name, Region: d.Region, Live: true})
 	}
-	for _, seed := range p.settings.Peers.Seeds {
-		if !live[seed.Name] {
-			out = append(out, bundle.Peer{Name: seed.Name, Region: p.settings.Region})
+	for _, name := range listed {
+		if !known[name] {
+			out = append(out, bundle.Peer{Name: name})
 		}
 	}
 	return out
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -158,3 +159,9 @@
 	addr, ok := (*s.listedSnap.Load())[name]
 	return addr, ok
 }
+
+// Listed returns the names of the daemons in the last host list that was read,
+// sorted. It is empty until one was read.
+func (s *Service) Listed() []string {
+	return slices.Sorted(maps.Keys(*s.listedSnap.Load()))
+}
