Let the proofs use express slots

Cause: with three slots a server has no express slot, so the histories did not show what they do to tier order and starvation. Change: four slots a server; the bound on starvation has a term for express slots, with its argument.

--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -22,7 +22,7 @@
 
 const (
 	starvation     = 20 * time.Second
-	slotsPerServer = 3
+	slotsPerServer = 4
 	minService     = 50 * time.Millisecond
 	maxService     = 400 * time.Millisecond
 	// settleTime covers the confirmation of slots and the longest wait.
--- a/scheduler/proof_test.go
+++ b/scheduler/proof_test.go
@@ -94,13 +94,13 @@
 
 // servedWithin is the longest time without a grant that
 // docs/design/starvation.md allows a class: half its bound until it is due,
-// the turns of all lower classes, and one lost grant.
+// the turns of all lower classes, express slots on the way, and one lost grant.
 func servedWithin() time.Duration {
 	const lower = bundle.MaxTiers - 1
 	// The allowance is a twentieth of the slot time.
 	const turn = 20 * maxService / slotsPerServer
 	lost := 4 * time.Second
-	return starvation/2 + lower*turn + (lower+1)*maxService + lost
+	return starvation/2 + lower*turn + (2*lower+1)*maxService + lost
 }
 
 func TestProofTierOrder(t *testing.T) {
