--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,24 +98,45 @@
 	}
 }
 
-// finish logs the outcome and writes an error, unless the answer has begun or
-// nobody waits for it.
+// finish logs the outcome and writes an error. If the answer has begun or the
+// caller went away, it aborts the connection instead: returning would send an
+// empty answer with status 200.
 func (g *Gateway) finish(w http.ResponseWriter, req *request, err error) {
 	if err == nil {
 		g.counters.served.Inc(1)
 		return
 	}
-	if req.http.Context().Err() != nil || errors.Is(err, errCallerGone) {
+	if callerGone(req, err) {
 		g.counters.left.Inc(1)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	e := asError(err)
 	g.counters.failed(e.Status)
-	g.cfg.Log.Info("request failed", "request_id", req.id, "customer", req.customerName(),
-		"class", req.className(), "code", e.Code, "status", e.Status, "err", err)
+	g.logFailure(req, e, err)
 	if req.begun {
 		// The answer is cut without its terminal marker.
 		panic(http.ErrAbortHandler)
 	}
 	writeError(w, e, req.run)
 }
+
+// logFailure logs a failed request. The messages of errors for the caller may
+// quote what it sent and are left out.
+func (g *Gateway) logFailure(req *request, e *Error, err error) {
+	g.cfg.Log.Info("request failed", "request_id", req.id, "customer", req.customerName(),
+		"class", req.className(), "code", e.Code, "status", e.Status)
+	var known *Error
+	if !errors.As(err, &known) {
+		g.cfg.Log.Error("request met an internal error", "request_id", req.id, "err", err)
+	}
+}
+
+// callerGone reports whether nobody waits for the answer. net/http ends the
+// request's context after a timeout of its body as well, but then the caller
+// still waits.
+func callerGone(req *request, err error) bool {
+	if errors.Is(err, errBodyTimeout) {
+		return false
+	}
+	return req.http.Context().Err() != nil || errors.Is(err, errCallerGone)
+}
