--- a/policy/pool.go
+++ b/policy/pool.go
@@ -21,6 +21,16 @@
 	RefuseLate bool
 }
 
+// Disabled turns single choices of the policy off, to measure what they do.
+type Disabled struct {
+	// Allowance keeps the tiers strict even if a class starves.
+	Allowance bool
+	// Stragglers treats slow and failing servers as sound.
+	Stragglers bool
+	// Express turns off requests beyond a server's slots.
+	Express bool
+}
+
 // PoolSpec describes a pool of interchangeable servers.
 type PoolSpec struct {
 	// Limit bounds the waiting reservations, beyond one of each class.
@@ -29,9 +39,13 @@
 	// server.
 	Slots    int
 	MaxSlots int
-	Classes  []ClassSpec
+	// Batches is set if the servers run requests of different priorities
+	// together and may take a few of a higher tier beyond their slots.
+	Batches bool
+	Classes []ClassSpec
 	// Owners holds the share of its servers' slots that an owner may claim.
-	Owners map[string]float64
+	Owners   map[string]float64
+	Disabled Disabled
 }
 
 // Refusal tells why a reservation was refused.
@@ -46,13 +60,6 @@
 	RefusedEvicted
 )
 
-// Withdrawal is a waiting reservation that was refused.
-type Withdrawal struct {
-	Reservation Reservation
-	Refusal     Refusal
-	RetryAfter  time.Duration
-}
-
 // Verdict answers a new reservation.
 type Verdict struct {
 	// Refusal is zero if the reservation waits.
@@ -88,6 +95,10 @@
 	claims    []string
 	gaps      []time.Duration
 	slots     int
+	// express is the lowest tier that may use the free servers.
+	express int
+	// strictestGap is the shortest target for the token gap; zero means none.
+	strictestGap time.Duration
 	// newcomer is the reservation being decided on, kept here because taking
 	// its address would allocate.
 	newcomer Reservation
@@ -98,7 +109,7 @@
 // NewPool returns a pool without servers.
 func NewPool(spec PoolSpec) *Pool {
 	p := &Pool{queue: NewQueue(), load: NewLoad(), classes: map[string]*classClock{}, held: map[string]bool{}}
-	p.fits = func(r *Reservation) bool { return !p.held[r.Key.Gateway] && p.hasFree(r) }
+	p.fits = func(r *Reservation) bool { return r.Tier <= p.express && !p.held[r.Key.Gateway] && p.hasFree(r) }
 	p.Configure(spec)
 	return p
 }
@@ -127,7 +138,11 @@
 	old := p.classes
 	p.classes = make(map[string]*classClock, len(spec.Classes))
 	p.ordered = p.ordered[:0]
+	p.strictestGap = 0
 	for _, c := range spec.Classes {
+		if gap := c.Target.TokenGap; gap > 0 && (p.strictestGap == 0 || gap < p.strictestGap) {
+			p.strictestGap = gap
+		}
 		if c.Starvation <= 0 {
 			c.Starvation = defaultStarvation
 		}
@@ -136,6 +151,7 @@
 			clock = &classClock{}
 		}
 		clock.spec = c
+		clock.queue = p.queue.class(c.Name)
 		p.classes[c.Name] = clock
 		p.ordered = append(p.ordered, clock)
 	}
@@ -228,7 +244,7 @@
 	}
 	excess := p.queue.Len()
 	for _, c := range p.ordered {
-		if p.queue.WaitingOf(c.spec.Name) > 0 {
+		if c.queue.len() > 0 {
 			excess--
 		}
 	}
@@ -269,7 +285,7 @@
 	if p.queue.WaitingOf(r.Class) == 0 && clock.unserved(now) >= dueShare {
 		return true
 	}
-	if clock.spec.RefuseLate && now.Add(wait).After(r.Deadline) {
+	if clock.spec.RefuseLate && now.Add(wait).After(clock.mustStart(r.Deadline)) {
 		return false
 	}
 	return !now.Add(wait).After(r.Arrived.Add(clock.spec.Starvation))
@@ -291,90 +307,3 @@
 	p.load.Left(false)
 	return true
 }
-
-// Expire refuses the reservations that missed their deadline, if their class
-// wants that, or have waited for the class's bound.
-func (p *Pool) Expire(now time.Time) {
-	var late []Key
-	p.queue.Each(func(r *Reservation) {
-		if p.late(now, r) {
-			late = append(late, r.Key)
-		}
-	})
-	slices.SortFunc(late, compareKeys)
-	for _, k := range late {
-		r := p.queue.index[k].Reservation
-		p.queue.Remove(k)
-		p.withdraw(now, r, RefusedDeadline)
-	}
-}
-
-// late reports whether a waiting reservation is no longer worth serving.
-func (p *Pool) late(now time.Time, r *Reservation) bool {
-	clock := p.classes[r.Class]
-	if clock == nil {
-		return true
-	}
-	if now.Sub(r.Arrived) > clock.spec.Starvation {
-		return true
-	}
-	return clock.spec.RefuseLate && now.After(r.Deadline)
-}
-
-func (p *Pool) withdraw(now time.Time, r Reservation, why Refusal) {
-	target := time.Duration(0)
-	if clock := p.classes[r.Class]; clock != nil {
-		target = clock.spec.Target.FirstToken
-		clock.demand(now)
-	}
-	wait := p.load.Wait(p.queue.Ahead(&r), p.Slots())
-	p.withdrawn = append(p.withdrawn, Withdrawal{Reservation: r, Refusal: why, RetryAfter: RetryAfter(wait, target)})
-}
-
-// RefuseAll withdraws everything that waits.
-func (p *Pool) RefuseAll(now time.Time, why Refusal) {
-	for p.queue.Len() > 0 {
-		r, _ := p.queue.Pop(nil, nil)
-		p.withdraw(now, r, why)
-	}
-}
-
-// Withdrawn returns the reservations refused since the last call. The slice is
-// valid until the next call on the pool.
-func (p *Pool) Withdrawn() []Withdrawal {
-	w := p.withdrawn
-	p.withdrawn = p.withdrawn[:0]
-	return w
-}
-
-// Drop withdraws, without an answer, the reservations of a gateway that is
-// gone and returns their keys in order.
-func (p *Pool) Drop(gateway string) []Key {
-	var gone []Key
-	p.queue.Each(func(r *Reservation) {
-		if r.Key.Gateway == gateway {
-			gone = append(gone, r.Key)
-		}
-	})
-	slices.SortFunc(gone, compareKeys)
-	for _, k := range gone {
-		p.queue.Remove(k)
-	}
-	return gone
-}
-
-func compareKeys(a, b Key) int {
-	if a.Gateway != b.Gateway {
-		if a.Gateway < b.Gateway {
-			return -1
-		}
-		return 1
-	}
-	switch {
-	case a.ID < b.ID:
-		return -1
-	case a.ID > b.ID:
-		return 1
-	}
-	return 0
-}
--- a/policy/straggler.go
+++ b/policy/straggler.go
@@ -32,7 +32,7 @@
 	// they are half of those that run.
 	minOverdue = 3
 	// goodProbes is the number of good probes in a row before a return.
-	goodProbes = 2
+	goodProbes = 1
 	// minMedianServers is the least number of servers whose median is trusted.
 	minMedianServers = 3
 )
--- a/reservation/protocol.go
+++ b/reservation/protocol.go
@@ -100,6 +100,7 @@
 	if a := r.asked[from]; a != nil {
 		a.queued = true
 		a.retryAfter = time.Duration(q.WaitMs) * time.Millisecond
+		m.askMore(r, m.cfg.Count)
 	}
 }
 
@@ -199,6 +200,13 @@
 	m.send(from, answer)
 }
 
+// renewAfter is the time between two renewals of a reservation that has waited
+// so long.
+func renewAfter(waited time.Duration) time.Duration {
+	share := time.Duration(renewShare * float64(waited))
+	return min(max(share, minRenewInterval), maxRenewInterval)
+}
+
 // refresh repeats unanswered and old reservations and replaces schedulers that
 // are gone.
 func (m *Manager) refresh(r *reservation) {
@@ -218,15 +226,13 @@
 			continue
 		}
 		age := now.Sub(a.sentAt)
-		if (!a.queued && age >= ackTimeout) || age >= renewInterval {
+		if (!a.queued && age >= ackTimeout) || age >= renewAfter(now.Sub(r.spec.Arrived)) {
 			a.sentAt = now
 			m.renewed.Inc(1)
 			m.send(name, r.message(now))
 		}
 	}
-	for _, name := range m.choose(r, m.cfg.Count-len(r.asked)) {
-		m.ask(r, name)
-	}
+	m.askMore(r, m.cfg.Count)
 	if len(r.asked) == 0 {
 		m.refuse(r, scheduler.ReasonNoServer)
 	}
