--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -12,13 +12,13 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/dispatch"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/scheduler"
+	"github.com/jacinththread/jacinththread/telemetry"
 )
 
 // Paths of the completion interfaces.
@@ -220,7 +220,7 @@
 	ctx, span := g.cfg.Tracer.Start(ctx, "reservation")
 	defer span.End()
 	if span.SpanContext().IsSampled() {
-		spec.Trace = traceParent(ctx)
+		spec.Trace = telemetry.Inject(ctx)
 	}
 	slot, err := g.cfg.Reservations.Acquire(ctx, spec)
 	if err != nil {
@@ -315,9 +315,3 @@
 	return g.cfg.Tracer.Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", slot.Server.Name)))
 }
-
-func traceParent(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(ctx, carrier)
-	return carrier[traceParentName]
-}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/dispatch"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/scheduler"
+	"github.com/jacinththread/jacinththread/telemetry"
 )
 
 // plainCost is the work of a plain call, in tokens.
@@ -82,7 +82,7 @@
 // addIdentity names the request towards the backend server.
 func (r *request) addIdentity(ctx context.Context, h http.Header) {
 	h.Set("X-Request-Id", r.id)
-	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+	telemetry.InjectHeader(ctx, h)
 }
 
 // backendHeader returns the headers of a completion request.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,18 +13,17 @@
 
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/reservation"
+	"github.com/jacinththread/jacinththread/telemetry"
 )
 
 const (
-	maxDeadline     = 24 * time.Hour
-	maxKeyBytes     = 255
-	notReadyRetry   = time.Second
-	traceParentName = "traceparent"
+	maxDeadline   = 24 * time.Hour
+	maxKeyBytes   = 255
+	notReadyRetry = time.Second
 )
 
 var keyPattern = regexp.MustCompile(`^[\x21-\x7e]+$`)
@@ -53,7 +52,7 @@
 }
 
 func (g *Gateway) newRequest(r *http.Request) *request {
-	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx := telemetry.ExtractHeader(r.Context(), r.Header)
 	req := &request{id: uuid.NewString(), arrived: time.Now(), run: NotRun}
 	ctx, req.span = g.cfg.Tracer.Start(ctx, "gateway", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request_id", req.id)))
@@ -220,7 +219,5 @@
 	if !r.span.SpanContext().IsSampled() {
 		return ""
 	}
-	carrier := propagation.MapCarrier{}
-	propagation.TraceContext{}.Inject(r.http.Context(), carrier)
-	return carrier[traceParentName]
+	return telemetry.Inject(r.http.Context())
 }
