Predict first tokens beyond half of their target

Change: the bound on the prediction is 0.8 of the target. The fake engines of the measurement also honor the priority that the gateway sends; before they served the router's requests in order of arrival, which mattered only with more slots than a server runs at once.

--- a/policy/adapt_test.go
+++ b/policy/adapt_test.go
@@ -206,3 +206,27 @@
 	p.Expire(epoch.Add(1010 * time.Millisecond))
 	assert.Equal(t, p.Withdrawn()[0].Refusal, RefusedDeadline)
 }
+
+// withdrawnBy reports whether a request of 1.6 s is refused once it has waited
+// so long at a server that takes a given time to the first token.
+func withdrawnBy(firstToken, waited time.Duration) bool {
+	p := NewPool(PoolSpec{Limit: 10, Slots: 1, MaxSlots: 1, Classes: []ClassSpec{
+		{Name: "class-0", Target: chatTarget, Starvation: time.Minute, RefuseLate: true},
+	}})
+	p.SetServers(serverSpecs(1))
+	for range minFirstTokens {
+		p.Observe(epoch, Finished{Server: "s-000", Class: "class-0", Cost: 100, Took: time.Second,
+			Observation: Observation{FirstToken: firstToken, TokenGap: 40 * time.Millisecond}})
+	}
+	r := res(1, 0, "c", 100)
+	r.Deadline = epoch.Add(chatTarget.FirstToken)
+	p.Reserve(epoch, r)
+	p.Expire(epoch.Add(waited))
+	return p.Queue().Len() == 0
+}
+
+func TestLongFirstTokenIsPredicted(t *testing.T) {
+	assert.Assert(t, !withdrawnBy(1200*time.Millisecond, 390*time.Millisecond))
+	assert.Assert(t, withdrawnBy(1200*time.Millisecond, 410*time.Millisecond))
+	assert.Assert(t, !withdrawnBy(10*time.Second, 300*time.Millisecond), "a slow server does not shut the class out")
+}
--- a/policy/firsttoken.go
+++ b/policy/firsttoken.go
@@ -10,6 +10,8 @@
 	firstTokenSmoothing = 0.05
 	// minFirstTokens is the number of observations before a prediction is made.
 	minFirstTokens = 20
+	// firstTokenBound is the most of a target that a prediction takes.
+	firstTokenBound = 0.8
 )
 
 // firstTokens predicts the time from dispatch to the first token of a class.
@@ -28,11 +30,11 @@
 }
 
 // expected returns the predicted time, or zero while too little is known. It
-// never exceeds half of the target, so that slow servers alone do not shut a
-// class out.
+// never exceeds firstTokenBound of the target, so that slow servers alone do not
+// shut a class out.
 func (f *firstTokens) expected(target time.Duration) time.Duration {
 	if f.samples < minFirstTokens || target <= 0 {
 		return 0
 	}
-	return min(seconds(f.mean), target/2)
+	return min(seconds(f.mean), time.Duration(firstTokenBound*float64(target)))
 }
--- a/test/measure/product.go
+++ b/test/measure/product.go
@@ -66,6 +66,10 @@
 	network := peertest.NewNetwork(wd.seed)
 	p := &product{wd: wd, variant: v, active: active, start: start, network: network}
 	network.SetDelay(linkDelay, 0)
+	// The gateway sends each request's tier as its priority.
+	for _, e := range wd.engines {
+		e.byTier = true
+	}
 	for i := range daemonCount {
 		name := daemonName(i)
 		bus, view, bundles := network.Bus(name), newFixedView(name), fixedBundle{active}
