Choose schedulers among the servers of the local region

Cause: reservations were placed by servers of all regions, while schedulers own those of their region only, so with several regions a part of the reservations would have gone to daemons without a server. Excluded: the schedulers' side, which assigns by region. The choice stood twice, here and in package policy. Change: both sides use scheduler.PoolServers and policy.Choose. Conclusion: regions are routed apart; one choice is left.

--- a/reservation/choose.go
+++ b/reservation/choose.go
@@ -6,6 +6,7 @@
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/policy"
+	"github.com/jacinththread/jacinththread/scheduler"
 )
 
 // assignments holds, per pool, which daemon schedules which backend server. It
@@ -25,7 +26,7 @@
 	}
 }
 
-// assignment returns the owners of the pool's servers that may get work. The
+// assignment returns the owners of the pool's servers in the local region. The
 // caller holds m.mu.
 func (m *Manager) assignment(pool *bundle.Pool) policy.Assignment {
 	c := &m.owners
@@ -39,13 +40,7 @@
 	if a, ok := c.pools[pool.Name]; ok {
 		return a
 	}
-	var servers []string
-	for _, s := range m.cfg.View.Servers(pool.Service) {
-		if !s.Leaving && pool.Holds(s.Name) {
-			servers = append(servers, s.Name)
-		}
-	}
-	a := policy.NewAssignment(servers, m.cfg.View.Schedulers())
+	a := policy.NewAssignment(scheduler.PoolServers(m.cfg.View, pool), m.cfg.View.Schedulers())
 	c.pools[pool.Name] = a
 	return a
 }
@@ -55,29 +50,20 @@
 	return policy.Assign(s.Name, m.cfg.View.Schedulers())
 }
 
-// choose picks up to n schedulers that the reservation has not asked yet. The
-// first is the one that owns the server of the prompt's prefix; the others are
-// random, weighted by the number of servers they own. The caller holds m.mu.
+// choose picks up to n schedulers that the reservation has not asked yet and
+// that own a server it may run on. The caller holds m.mu.
 func (m *Manager) choose(r *reservation, n int) []string {
-	a := m.assignment(r.spec.Pool)
-	if n <= 0 || len(a.Schedulers) == 0 {
-		return nil
-	}
-	var names []string
-	add := func(i int) {
-		name := a.Owners[i]
-		if r.asked[name] == nil && !slices.Contains(names, name) && !slices.Contains(r.spec.Avoid, a.Servers[i]) {
-			names = append(names, name)
-		}
+	prefix := r.spec.Prefix
+	if len(r.asked) > 0 {
+		prefix = 0
 	}
-	if r.spec.Prefix != 0 && len(r.asked) == 0 {
-		add(a.PreferredServer(r.spec.Prefix))
+	skip := func(name, server string) bool {
+		return r.asked[name] != nil || slices.Contains(r.spec.Avoid, server) || m.leaving(server)
 	}
-	for _, i := range m.rng.Perm(len(a.Servers)) {
-		if len(names) >= n {
-			break
-		}
-		add(i)
-	}
-	return names
+	return policy.Choose(m.assignment(r.spec.Pool), prefix, n, skip, m.rng)
+}
+
+func (m *Manager) leaving(server string) bool {
+	s, ok := m.cfg.View.Server(server)
+	return !ok || s.Leaving
 }
--- a/reservation/manager_test.go
+++ b/reservation/manager_test.go
@@ -16,6 +16,7 @@
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/peer/peertest"
+	"github.com/jacinththread/jacinththread/policy"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
 
@@ -25,9 +26,13 @@
 	mu      sync.Mutex
 	daemons []string
 	leaving []string
+	// distant names the servers of another region.
+	distant []string
 	changed chan struct{}
 }
 
+func (v *fakeView) Self() membership.Daemon { return membership.Daemon{Name: "gw", Region: "here"} }
+
 func (v *fakeView) Schedulers() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -49,7 +54,11 @@
 }
 
 func (v *fakeView) Server(name string) (membership.Server, bool) {
-	return membership.Server{Name: name, Service: "llm", Leaving: slices.Contains(v.leaving, name)}, true
+	region := "here"
+	if slices.Contains(v.distant, name) {
+		region = "elsewhere"
+	}
+	return membership.Server{Name: name, Service: "llm", Region: region, Leaving: slices.Contains(v.leaving, name)}, true
 }
 
 func (v *fakeView) Servers(string) []membership.Server {
@@ -402,3 +411,21 @@
 		assert.Equal(t, f.schedulers["a"].declared[0].Running[0].Server, "e1")
 	})
 }
+
+// Schedulers own the servers of their region only, so a reservation placed by a
+// server of another region would find none.
+func TestServersOfOtherRegionsChooseNoScheduler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		f.view.distant = []string{"e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"}
+		ctx, cancel := context.WithCancel(t.Context())
+		out := f.acquire(ctx, spec(0))
+		settleMessages()
+		for name, s := range f.schedulers {
+			owns := name == policy.Assign("e1", f.view.daemons)
+			assert.Equal(t, len(s.reserves) == 1, owns, name)
+		}
+		cancel()
+		assert.ErrorIs(t, (<-out).err, context.Canceled)
+	})
+}
