Bound the time to read an operator's request body

A stalled body held a connection of the operators' port for ever, also one of a stranger without a token: only the headers had a bound, and net/http reads the rest of an unread body before it answers. The bound of the callers' port now holds here as well.

A bound on requests without a body was tried and refuted by TestSlowStoreDoesNotCutOperatorCalls: the deadline ends the context of a slow GET; so requests without a body have none.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -138,12 +140,17 @@
 	d.roll()
 	head := "POST " + chatPath + " HTTP/1.1\r\nHost: entry\r\n"
 	full := head + "Authorization: Bearer " + customerToken + "\r\nContent-Length: 100\r\n\r\n{"
-	for _, c := range []struct{ name, sent, status string }{
-		{"headers", head, ""},
-		{"body", full, "HTTP/1.1 408 "},
+	operatorBody := "POST /v1/bundle/proposals HTTP/1.1\r\nHost: entry\r\nContent-Length: 100\r\n"
+	callers, operators := s.Listen.Callers, s.Listen.Operators
+	for _, c := range []struct{ name, addr, sent, status string }{
+		{"headers", callers, head, ""},
+		{"body", callers, full, "HTTP/1.1 408 "},
+		{"operators' headers", operators, operatorBody, ""},
+		{"operators' body", operators, operatorBody + "Authorization: Bearer demo-operator-a\r\n\r\n{", "HTTP/1.1 400 "},
+		{"strangers' body", operators, operatorBody + "\r\n{", "HTTP/1.1 401 "},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			conn, err := net.Dial("tcp", d.daemons[0].settings.Listen.Callers)
+			conn, err := net.Dial("tcp", c.addr)
 			assert.NilError(t, err)
 			defer conn.Close()
 			_, err = conn.Write([]byte(c.sent))
@@ -218,3 +225,36 @@
 	// go-metrics ticks all meters of the process in one goroutine.
 	goleak.VerifyNone(t, before, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
 }
+
+// TestSlowStoreDoesNotCutOperatorCalls: the bound on reading a request ends with
+// its body.
+func TestSlowStoreDoesNotCutOperatorCalls(t *testing.T) {
+	d := newDeployment(t)
+	s := d.newSettings("entry-1")
+	s.Callers.ReadTimeoutMs = 500
+	d.startOne(s)
+	d.roll()
+	d.platform.SetFaults(standinplatform.Faults{SlowMs: 300})
+	proposal, err := json.Marshal(map[string]any{"change_id": "second", "base": 1, "content": bundleText})
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		method, path string
+		body         []byte
+		status       int
+	}{
+		{http.MethodPost, "/v1/bundle/proposals", proposal, http.StatusCreated},
+		{http.MethodGet, "/v1/bundle/history", nil, http.StatusOK},
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), c.method, "http://"+s.Listen.Operators+c.path, bytes.NewReader(c.body))
+		assert.NilError(t, err)
+		req.Header.Set("Authorization", "Bearer demo-operator-a")
+		begun := time.Now()
+		res, err := d.http.Do(req)
+		assert.NilError(t, err)
+		answer, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Assert(t, time.Since(begun) > time.Duration(s.Callers.ReadTimeoutMs)*time.Millisecond, "%s: the store is too fast for this test", c.path)
+		assert.Equal(t, res.StatusCode, c.status, string(answer))
+	}
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -31,20 +31,22 @@
 	if f.err != nil {
 		return nil, f.err
 	}
+	readTimeout := time.Duration(p.settings.Callers.ReadTimeoutMs) * time.Millisecond
 	router := mux.NewRouter()
 	telemetry.Routes(router, p.metrics, func() error { return ready(c.bundles) })
 	router.PathPrefix("/v1/").Handler(operator.New(operator.Config{
-		Store:   store,
-		Source:  c.bundles,
-		View:    c.view,
-		Queues:  queues,
-		Log:     p.log,
-		Metrics: p.metrics,
+		Store:       store,
+		Source:      c.bundles,
+		View:        c.view,
+		Queues:      queues,
+		ReadTimeout: readTimeout,
+		Log:         p.log,
+		Metrics:     p.metrics,
 	}))
 	return &operators{
 		server: &http.Server{
 			Handler:           router,
-			ReadHeaderTimeout: time.Duration(p.settings.Callers.ReadTimeoutMs) * time.Millisecond,
+			ReadHeaderTimeout: readTimeout,
 			IdleTimeout:       idleTimeout,
 		},
 		addr: p.settings.Listen.Operators,
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -40,6 +40,8 @@
 	Source bundle.Source
 	View   membership.View
 	Queues Queues
+	// ReadTimeout bounds reading the body of a request; zero means callTimeout.
+	ReadTimeout time.Duration
 	// Log and Metrics may be nil.
 	Log     *log.Logger
 	Metrics metrics.Registry
@@ -61,6 +63,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
+	if cfg.ReadTimeout <= 0 {
+		cfg.ReadTimeout = callTimeout
+	}
 	a := &api{
 		cfg:      cfg,
 		store:    bundle.NewStore(cfg.Store),
@@ -100,6 +105,7 @@
 func (a *api) handle(f func(*http.Request) (reply, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.calls.Inc(1)
+		limitReadTime(w, r, a.cfg.ReadTimeout)
 		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 		defer cancel()
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -112,3 +118,14 @@
 		writeJSON(w, out.status, out.body)
 	})
 }
+
+// limitReadTime bounds the time to read a request's body. net/http lifts the
+// bound at the end of the body. A request without one is not bounded, since
+// reaching the bound would end its context.
+func limitReadTime(w http.ResponseWriter, r *http.Request, limit time.Duration) {
+	if r.ContentLength == 0 {
+		return
+	}
+	// Not every ResponseWriter of a test supports deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit))
+}
