--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,8 @@
 unit:
 	$(GO) test -race -timeout $(TEST_TIMEOUT) $(PKGS)
 
-# Prints a line for each point of what must always hold. PROOF_SEED=N or N..M
-# sets other seeds.
+# Prints a line for each point of what must always hold. PROOF_SEED=N sets other
+# seeds.
 proofs:
 	@GO="$(GO)" ./.ci/proofs
 
