Run the slow tests of whole daemons beside each other

Ports come from below the range of outgoing connections, so that no connection of another test takes one that was found free.

--- a/daemon/backends_test.go
+++ b/daemon/backends_test.go
@@ -23,6 +23,7 @@
 // TestFaultsOfServersShowInTheMetricsOfTheirPage follows the last table of
 // docs/operations/backend-servers.md. Callers get whole answers all the while.
 func TestFaultsOfServersShowInTheMetricsOfTheirPage(t *testing.T) {
+	t.Parallel()
 	const cutAt = 2
 	for _, c := range []struct {
 		name   string
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -43,6 +43,7 @@
 }
 
 func TestPlannedStopCompletesAStreamInFlight(t *testing.T) {
+	t.Parallel()
 	const tokens = 40
 	d := newDeployment(t)
 	d.start(3)
@@ -133,6 +134,7 @@
 }
 
 func TestSlowSendersAreCut(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	s := d.newSettings("entry-1")
 	s.Callers.ReadTimeoutMs = 1000
@@ -229,6 +231,7 @@
 // TestSlowStoreDoesNotCutOperatorCalls: the bound on reading a request ends with
 // its body.
 func TestSlowStoreDoesNotCutOperatorCalls(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	s := d.newSettings("entry-1")
 	s.Callers.ReadTimeoutMs = 500
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,17 +162,36 @@
 	return s
 }
 
+// Daemons of tests listen below the range from which the system takes ports for
+// outgoing connections, so that none of those takes a port that was found free.
+const (
+	firstPort = 24_000
+	portCount = 8_000
+)
+
+// lastPort spreads the tests of several processes over the ports.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(rand.Uint32N(portCount)) }
+
 // freePorts returns loopback addresses that nothing listens on.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var addrs []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer ln.Close()
-		addrs = append(addrs, ln.Addr().String())
+	for range portCount {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, ln.Close())
+		addrs = append(addrs, addr)
+		if len(addrs) == n {
+			return addrs
+		}
 	}
-	return addrs
+	t.Fatal("no port is free")
+	return nil
 }
 
 // start starts n more daemons.
