--- a/daemon/docs_test.go
+++ b/daemon/docs_test.go
@@ -295,3 +295,29 @@
 	}
 	return out
 }
+
+// errorCode matches where the gateway names the code of an answer.
+var errorCode = regexp.MustCompile(`(?:Code: |\.Code, e\.Message = |badRequest\()"([a-z_]+)"`)
+
+func TestAnswersPageListsEveryCode(t *testing.T) {
+	files, err := filepath.Glob("../gateway/*.go")
+	assert.NilError(t, err)
+	var codes []string
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for _, m := range errorCode.FindAllStringSubmatch(string(data), -1) {
+			codes = append(codes, m[1])
+		}
+	}
+	var documented []string
+	for _, row := range tableRows(t, "answers.md", 4) {
+		documented = append(documented, row[0])
+	}
+	slices.Sort(codes)
+	slices.Sort(documented)
+	assert.DeepEqual(t, documented, slices.Compact(codes))
+}
