Accept callers a second longer than their answers live at a planned stop

Cause: other daemons may give out the address of a leaving daemon until the news reaches them, so a caller could hold it beyond its ttl and meet a closed port. Change: the stop waits one second more, the bound within which every daemon sees a leaving one (TestPlannedStopIsSeenAtOnce). Conclusion: the ttl is kept for callers of all daemons.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// leaveSpread bounds the time until no daemon gives out the address of one
+	// that leaves.
+	leaveSpread = time.Second
 	idleTimeout = 2 * time.Minute
 	// operatorStopTimeout bounds the wait for operators' calls at a stop.
 	operatorStopTimeout = 2 * time.Second
@@ -82,7 +85,7 @@
 	c.view.Leave()
 	c.gw.Drain()
 	select {
-	case <-time.After(c.ttl):
+	case <-time.After(c.ttl + leaveSpread):
 	case <-ctx.Done():
 	}
 	err := c.server.Shutdown(ctx)
