Give backend servers keys that belong to their customer

Cause: the caller's Idempotency-Key was passed on as it was, so at a server that checks keys the second of two customers with the same key would have been refused. Excluded: claims, which are kept by customer already. Change: backend servers get customer:key. Conclusion: no customer's key meets another's.

--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -125,7 +125,7 @@
   local posting=(--service ledger --path postings --class posting --idempotency-key fee-4711 --body '{"fee":10}')
   check "a posting" "$(send "${posting[@]}" 2>/dev/null | field run)" ran
   check "the same posting again" "$(send "${posting[@]}" 2>/dev/null | field run)" ran
-  check "runs of the posting at the service" "$(curl -s "$ledger/admin/runs" | grep -o '"key":"fee-4711"' | wc -l)" 1
+  check "runs of the posting at the service" "$(curl -s "$ledger/admin/runs" | grep -o '"key":"north-desk:fee-4711"' | wc -l)" 1
   bin/jacinththreadctl load --quiet examples/demo/workload.jsonc || fail "load"
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -183,3 +183,16 @@
 	assert.Equal(t, a.status, http.StatusOK)
 	assert.Assert(t, cmp.Contains(a.body, `"/status"`))
 }
+
+// Each customer has its own keys, also at servers that check them.
+func TestEqualKeysOfTwoCustomersAreTwoCalls(t *testing.T) {
+	h := newHarness(t)
+	first := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
+	assert.Equal(t, first.status, http.StatusOK)
+	second := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1",
+		"Authorization", "Bearer token-south")
+	assert.Equal(t, second.status, http.StatusOK)
+	runs := h.ledger.Runs()
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[0].Key != runs[1].Key)
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -37,6 +37,9 @@
 		Header: plainHeader(req.http.Header),
 		Body:   req.body,
 	}
+	if req.key != "" {
+		call.Header.Set(HeaderIdempotency, req.backendKey())
+	}
 	if q := req.http.URL.RawQuery; q != "" {
 		call.Path += "?" + q
 	}
@@ -79,6 +82,11 @@
 	return out
 }
 
+// backendKey is the idempotency key towards backend servers. Keys belong to
+// their customer, so two customers with the same key must not meet at a server
+// that checks it.
+func (r *request) backendKey() string { return r.customer.Name + ":" + r.key }
+
 // addIdentity names the request towards the backend server.
 func (r *request) addIdentity(ctx context.Context, h http.Header) {
 	h.Set("X-Request-Id", r.id)
