Serve no request after its class's bound on waiting

Cause: the measurement showed waits of up to 0.1 s beyond the bound: the check runs every 100 ms, the allowance served what it had not yet withdrawn, and the way to the backend server came on top. Excluded: clocks (virtual time). Change: a pick is refused if its dispatch would fall beyond the bound, picks of the allowance included. The new unit test failed before. Conclusion: the bound on waiting holds for each request that is served.

--- a/policy/adapt_test.go
+++ b/policy/adapt_test.go
@@ -230,3 +230,19 @@
 	assert.Assert(t, withdrawnBy(1200*time.Millisecond, 410*time.Millisecond))
 	assert.Assert(t, !withdrawnBy(10*time.Second, 300*time.Millisecond), "a slow server does not shut the class out")
 }
+
+// The allowance must not serve a request after its class's bound: no request
+// may wait longer than that.
+func TestAllowanceServesNoRequestBeyondItsBound(t *testing.T) {
+	o := newOracle(1, 100)
+	for tier := range 2 {
+		o.nextID++
+		r := res(o.nextID, tier, "c", 100)
+		r.Arrived, r.Deadline = epoch, epoch.Add(time.Hour)
+		assert.Equal(t, o.pool.Reserve(epoch, r).Refusal, NotRefused)
+	}
+	now := epoch.Add(oracleStarvation)
+	_, ok := o.pool.Next(now)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(o.pool.Withdrawn()), 2)
+}
--- a/policy/grant.go
+++ b/policy/grant.go
@@ -21,7 +21,7 @@
 		if !ok {
 			return Pick{}, false
 		}
-		if p.late(now, &pick.Reservation) && !pick.Allowance {
+		if p.tooLate(now, &pick) {
 			p.queue.Refund(&pick.Reservation)
 			p.withdraw(now, pick.Reservation, RefusedDeadline)
 			continue
@@ -32,6 +32,16 @@
 	return Pick{}, false
 }
 
+// tooLate reports whether a pick is no longer worth serving. The allowance
+// serves a request that missed its deadline, but none beyond its class's bound.
+func (p *Pool) tooLate(now time.Time, pick *Pick) bool {
+	r := &pick.Reservation
+	if pick.Allowance {
+		return p.classes[r.Class].overdue(now, r)
+	}
+	return p.late(now, r)
+}
+
 // take removes the next reservation from the queue.
 func (p *Pool) take(now time.Time) (Pick, bool) {
 	if class := p.dueClass(now); class != "" && p.express == Tiers {
--- a/policy/oracle_test.go
+++ b/policy/oracle_test.go
@@ -193,7 +193,7 @@
 }
 
 func (o *oracle) late(r Reservation) bool {
-	return r.Tier%2 == 0 && o.now.After(r.Deadline) || o.now.Sub(r.Arrived) > oracleStarvation
+	return r.Tier%2 == 0 && o.now.After(r.Deadline) || o.now.Sub(r.Arrived) > oracleStarvation-startMargin
 }
 
 // grant takes all picks and checks each against the list.
@@ -224,6 +224,9 @@
 	if used >= o.slots && (used >= o.slots+o.express || lowest <= p.Tier || !o.fitsExpress(p) || pick.Allowance) {
 		t.Fatalf("pick of %v on %s is beyond its slots", p.Key, pick.Server)
 	}
+	if o.now.Sub(p.Arrived) > oracleStarvation-startMargin {
+		t.Fatalf("%v granted beyond its class's bound", p.Key)
+	}
 	if pick.Allowance {
 		o.checkAllowance(t, p)
 		return
--- a/policy/withdraw.go
+++ b/policy/withdraw.go
@@ -9,6 +9,9 @@
 // request that can no longer be served in time is told so while its caller may
 // still go elsewhere, and no work starts that nobody waits for.
 
+// startMargin is the time from a grant to the dispatch that it leads to.
+const startMargin = 100 * time.Millisecond
+
 // Withdrawal is a waiting reservation that was refused.
 type Withdrawal struct {
 	Reservation Reservation
@@ -39,10 +42,13 @@
 	if clock == nil {
 		return true
 	}
-	if now.Sub(r.Arrived) > clock.spec.Starvation {
-		return true
-	}
-	return clock.spec.RefuseLate && now.After(clock.mustStart(r.Deadline))
+	return clock.overdue(now, r) || clock.spec.RefuseLate && now.After(clock.mustStart(r.Deadline))
+}
+
+// overdue reports whether a grant made now would start the reservation after
+// its class's bound.
+func (c *classClock) overdue(now time.Time, r *Reservation) bool {
+	return now.Add(startMargin).Sub(r.Arrived) > c.spec.Starvation
 }
 
 func (p *Pool) withdraw(now time.Time, r Reservation, why Refusal) {
