Keep the measuring programs apart from the tests

Cause: make measure, make bench and make capacity lived below test/, and the capacity series in test files, so a newcomer took them for tests. The benchmark left its processes running when its output was closed early (seen: the next run measured them). Change: the packages measure, bench and capacity; only what checks something is a test file; the benchmark ignores a closed output until it has stopped what it started. Conclusion: nothing but places changed in what is measured.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	examples/demo/run.sh
 
 bench: build
-	$(GO) run ./test/bench
+	$(GO) run ./bench
 
 test: format-check vet lint unit
 
@@ -41,13 +41,13 @@
 JOBS ?= 4
 MEASURE_OUT = $(if $(SEED)$(QUICK),,$(CURDIR)/docs)
 measure:
-	$(GO) test -c -o bin/measure.test ./test/measure
+	$(GO) test -c -o bin/measure.test ./measure
 	MEASURE=1 SEED=$(SEED) QUICK=$(QUICK) OUT=$(MEASURE_OUT) GOMAXPROCS=$(JOBS) \
 		bin/measure.test -test.run '^TestMeasure$$' -test.parallel $(JOBS) -test.timeout 20m
 
 # Measures the slopes that docs/CAPACITY.md extrapolates from. Takes minutes.
 capacity:
-	CAPACITY_OUT=$(CURDIR)/docs/CAPACITY-SLOPES.md $(GO) test -count=1 -timeout 15m -run TestSlopes ./test/capacity
+	CAPACITY_OUT=$(CURDIR)/docs/CAPACITY-SLOPES.md $(GO) test -count=1 -timeout 15m -run TestSlopes ./capacity
 
 clean:
 	rm -rf bin
--- a/test/bench/main.go
+++ b/bench/main.go
@@ -9,6 +9,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +27,9 @@
 )
 
 func main() {
+	// A closed standard output must not end the process before it has stopped
+	// the processes that it started.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
--- a/test/measure/page.go
+++ b/measure/page.go
@@ -81,7 +81,7 @@
 func (s *resultSet) page() string {
 	var b strings.Builder
 	b.WriteString("# Measurements\n\nWritten by `make measure`; do not edit. ")
-	b.WriteString("The text is in test/measure/method.md and test/measure/remarks.md.\n\n")
+	b.WriteString("The text is in measure/method.md and measure/remarks.md.\n\n")
 	b.WriteString(methodText)
 	b.WriteString("\n## Targets\n\n")
 	s.writeTargets(&b)
