Do not send a host list again that has not changed

Excluded: fewer polls, which would let a leaving server be seen after more than 3 s. Change: the list carries an entity tag; an unchanged one is answered with 304.

--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"github.com/jacinththread/jacinththread/platform"
@@ -40,9 +41,28 @@
 	if hosts == nil {
 		hosts = []platform.Host{}
 	}
+	tag, err := tagOf(hosts)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, hosts)
 }
 
+// tagOf returns the entity tag of a host list.
+func tagOf(hosts []platform.Host) (string, error) {
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		return "", err
+	}
+	return strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16)), nil
+}
+
 func (s *Standin) get(w http.ResponseWriter, r *http.Request) {
 	key, ok := keyOf(w, r)
 	if !ok {
