Answer every connection that reached a daemon before its planned stop closed it

Cause: two ways in which a caller that had sent its request saw it cut, when it connected at the instant the port closed: closing a listener resets connections that were not accepted yet, and http.Server.Shutdown closes a new connection without an answer if it reads the request after the call. Excluded: requests in flight, none of which was cut, and connections closed before the ttl. Change: the listener accepts what waits before it closes, and the stop waits until no connection is new or active before Shutdown.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -34,6 +34,11 @@
 	// ttl is how long callers may keep an address.
 	ttl time.Duration
 	log *log.Logger
+
+	listener *drainListener
+	conns    *busyConns
+	// served is closed when no more connections are accepted.
+	served chan struct{}
 }
 
 func (p *parts) newCallers(r kernel.Registry) (kernel.Service, error) {
@@ -44,9 +49,12 @@
 		return nil, f.err
 	}
 	limits := p.settings.Callers
+	conns := newBusyConns()
 	return &callers{
+		conns: conns,
 		server: &http.Server{
 			Handler:           g.Handler(),
+			ConnState:         conns.change,
 			ReadHeaderTimeout: time.Duration(limits.ReadTimeoutMs) * time.Millisecond,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
@@ -61,20 +69,27 @@
 }
 
 // Start implements kernel.Service.
-func (c *callers) Start(context.Context) error { return serve(c.server, c.addr, c.log) }
+func (c *callers) Start(context.Context) (err error) {
+	c.listener, c.served, err = serve(c.server, c.addr, c.log)
+	return err
+}
 
-// serve listens on an address and serves it in the background.
-func serve(server *http.Server, addr string, logger *log.Logger) error {
-	ln, err := net.Listen("tcp", addr)
+// serve listens on an address and serves it in the background. The channel is
+// closed when no more connections are accepted.
+func serve(server *http.Server, addr string, logger *log.Logger) (*drainListener, chan struct{}, error) {
+	ln, err := listen(addr)
 	if err != nil {
-		return trace.Wrap(err, "listening on %s", addr)
+		return nil, nil, err
 	}
+	served := make(chan struct{})
 	go func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		defer close(served)
+		err := server.Serve(ln)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			logger.Error("listener failed", "addr", addr, "err", err)
 		}
 	}()
-	return nil
+	return ln, served, nil
 }
 
 // Stop leaves the entry directory and hands the scheduling over, goes on
@@ -88,7 +103,7 @@
 	case <-time.After(c.ttl + leaveSpread):
 	case <-ctx.Done():
 	}
-	err := c.server.Shutdown(ctx)
+	err := c.drain(ctx)
 	if err == nil {
 		return nil
 	}
@@ -100,6 +115,19 @@
 	return &cutError{requests: cut}
 }
 
+// drain closes the port and returns when every connection has had its answer.
+func (c *callers) drain(ctx context.Context) error {
+	if err := c.listener.Drain(); err != nil {
+		return trace.Wrap(err)
+	}
+	<-c.served
+	c.server.SetKeepAlivesEnabled(false)
+	if err := c.conns.wait(ctx); err != nil {
+		return err
+	}
+	return c.server.Shutdown(ctx)
+}
+
 // cutError tells how many requests in flight a planned stop cut off.
 type cutError struct{ requests int }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -62,7 +62,10 @@
 }
 
 // Start implements kernel.Service.
-func (o *operators) Start(context.Context) error { return serve(o.server, o.addr, o.log) }
+func (o *operators) Start(context.Context) error {
+	_, _, err := serve(o.server, o.addr, o.log)
+	return err
+}
 
 // Stop implements kernel.Service.
 func (o *operators) Stop(ctx context.Context) error {
--- a/internal/proof/check.go
+++ b/internal/proof/check.go
@@ -161,6 +161,24 @@
 	return found
 }
 
+// LastWorkAfterLeaving returns the longest time from when the host list showed a
+// backend server as leaving to the last run that began on it; zero if none did.
+func LastWorkAfterLeaving(events []Event) time.Duration {
+	longest := time.Duration(0)
+	leaving := map[string]Event{}
+	for _, e := range events {
+		switch e.Kind {
+		case Leaving:
+			leaving[e.Server] = e
+		case Ran:
+			if l, ok := leaving[e.Server]; ok {
+				longest = max(longest, e.At.Sub(l.At))
+			}
+		}
+	}
+	return longest
+}
+
 // CheckGracefulStop reports requests that a planned stop cut, requests that
 // found a stopping daemon closed while callers may still use its address, and
 // stops that did not end well. The entry ttl is how long callers may keep an
--- a/test/proofs_test.go
+++ b/test/proofs_test.go
@@ -57,11 +57,14 @@
 	time.Sleep(lateWork)
 	runs := allRuns(d)
 	events := 0
+	last := time.Duration(0)
 	histories := make([][]proof.Event, len(scenes))
 	for i, s := range scenes {
 		histories[i] = s.events(runs)
 		events += len(histories[i])
+		last = max(last, proof.LastWorkAfterLeaving(histories[i]))
 	}
+	t.Logf("the last work on a leaving backend server began %v after the list showed it", last)
 	for _, c := range checks {
 		violations := 0
 		for i, s := range scenes {
