--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/bundle"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/httpstore"
 	"github.com/jacinththread/jacinththread/policy"
 )
 
@@ -101,13 +101,13 @@
 }
 
 func (d *deployment) setHosts(ctx context.Context) error {
-	hosts := []platform.Host{
-		{Name: "engine-1", Addr: engineAddr, Service: "llm", Region: "r", Domain: "a", State: platform.HostLive},
-		{Name: "slow-1", Addr: slowEngineAddr, Service: "llm", Region: "r", Domain: "a", State: platform.HostLive},
+	hosts := []store.Host{
+		{Name: "engine-1", Addr: engineAddr, Service: "llm", Region: "r", Domain: "a", State: store.HostLive},
+		{Name: "slow-1", Addr: slowEngineAddr, Service: "llm", Region: "r", Domain: "a", State: store.HostLive},
 	}
 	for i := range daemonCount {
-		hosts = append(hosts, platform.Host{
-			Name: daemonName(i), Addr: peerAddr(i), Service: "jacinththread", Region: "r", Domain: "a", State: platform.HostLive,
+		hosts = append(hosts, store.Host{
+			Name: daemonName(i), Addr: peerAddr(i), Service: "jacinththread", Region: "r", Domain: "a", State: store.HostLive,
 		})
 	}
 	body, err := json.Marshal(hosts)
--- a/bundle/activator.go
+++ b/bundle/activator.go
@@ -12,7 +12,7 @@
 
 	"github.com/jacinththread/jacinththread/kernel"
 	"github.com/jacinththread/jacinththread/peer"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 var (
@@ -30,7 +30,7 @@
 
 // Config configures an Activator.
 type Config struct {
-	Store platform.Store
+	Store store.Store
 	Bus   peer.Bus
 	// Region is the region of the local daemon.
 	Region string
@@ -53,7 +53,7 @@
 	inbox   chan *GossipBody
 	// lastRevision is the revision of bundle/current that was handled last. It
 	// is used by one goroutine.
-	lastRevision platform.Revision
+	lastRevision store.Revision
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
--- a/bundle/activator_test.go
+++ b/bundle/activator_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/peer"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // controlBytesPerSecond is what a daemon may spend on control.
@@ -68,7 +68,7 @@
 }
 
 func TestSpreadWithoutWatchers(t *testing.T) {
-	for _, state := range []platformtest.LinkState{platformtest.LinkDown, platformtest.LinkSilent} {
+	for _, state := range []storetest.LinkState{storetest.LinkDown, storetest.LinkSilent} {
 		inFleet(t, 3, 50, func(t *testing.T, f *fleet) {
 			watchers := f.watchers()
 			assert.Equal(t, len(watchers), watchersPerRegion*len(regions))
@@ -128,12 +128,12 @@
 	inFleet(t, 8, 7, func(t *testing.T, f *fleet) {
 		paused := f.nodes["d3"]
 		f.net.Pause("d3")
-		paused.link.Set(platformtest.LinkSilent)
+		paused.link.Set(storetest.LinkSilent)
 		version := f.roll()
 		time.Sleep(30 * time.Second)
 		assert.Equal(t, f.at(version), len(f.nodes)-1)
 		f.net.Resume("d3")
-		paused.link.Set(platformtest.LinkUp)
+		paused.link.Set(storetest.LinkUp)
 		f.awaitAll(version, spreadBound)
 	})
 }
--- a/bundle/errors.go
+++ b/bundle/errors.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Errors of the store protocol.
@@ -57,5 +57,5 @@
 // Error gives the sizes and the limit.
 func (e *SizeError) Error() string {
 	return fmt.Sprintf("bundle takes %d bytes, %d compressed; the store's limit is %d",
-		e.Bytes, e.Compressed, platform.MaxValueBytes)
+		e.Bytes, e.Compressed, store.MaxValueBytes)
 }
--- a/bundle/fleet_test.go
+++ b/bundle/fleet_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/peer/peertest"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // spreadBound is the time until a version must be in force everywhere.
@@ -22,7 +22,7 @@
 type fleet struct {
 	t     *testing.T
 	net   *peertest.Network
-	plat  *platformtest.Platform
+	plat  *storetest.Platform
 	store *Store
 	nodes map[string]*node
 
@@ -40,7 +40,7 @@
 	name   string
 	life   int
 	region string
-	link   *platformtest.Link
+	link   *storetest.Link
 	stop   context.CancelFunc
 }
 
@@ -49,7 +49,7 @@
 // newFleet starts n daemons in three regions.
 func newFleet(t *testing.T, seed uint64, n int) *fleet {
 	t.Helper()
-	plat := platformtest.New()
+	plat := storetest.New()
 	f := &fleet{t: t, net: peertest.NewNetwork(seed), plat: plat, store: NewStore(plat), nodes: map[string]*node{}, began: time.Now()}
 	f.net.SetDelay(2*time.Millisecond, 3*time.Millisecond)
 	for i := range n {
--- a/bundle/follow.go
+++ b/bundle/follow.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
@@ -94,7 +94,7 @@
 	defer cancel()
 	a.metrics.storeReads.Inc(1)
 	e, err := a.cfg.Store.Get(bound, currentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		a.learnFloor(0)
 		return nil
 	}
@@ -105,7 +105,7 @@
 }
 
 // follow puts the version that bundle/current names in force.
-func (a *Activator) follow(ctx context.Context, e platform.Entry) error {
+func (a *Activator) follow(ctx context.Context, e store.Entry) error {
 	if e.Deleted {
 		return fmt.Errorf("%s was deleted", currentKey)
 	}
--- a/bundle/history_test.go
+++ b/bundle/history_test.go
@@ -17,8 +17,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // rollOp is one call of Roll, or a read of the version in force if id is
@@ -161,7 +161,7 @@
 		return rollResult{at: p.Version}
 	case errors.As(err, &conflict):
 		return rollResult{at: conflict.Winner.Version, lost: true}
-	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrOutcomeUnknown):
 		return rollResult{refused: true}
 	}
 	return rollResult{unknown: true}
@@ -200,12 +200,12 @@
 }
 
 // runOperators lets operators race over a store with faults.
-func runOperators(t *testing.T, seed uint64, operators, changes int, faults platformtest.RandomFaults) *opHistory {
+func runOperators(t *testing.T, seed uint64, operators, changes int, faults storetest.RandomFaults) *opHistory {
 	h := &opHistory{}
 	content := variant(t, 1)
 	synctest.Test(t, func(t *testing.T) {
 		h.start = time.Now()
-		plat := platformtest.New()
+		plat := storetest.New()
 		plat.SetLatency(2 * time.Millisecond)
 		faults.Seed = seed
 		plat.SetRandomFaults(faults)
@@ -226,7 +226,7 @@
 		seed := rapid.Uint64().Draw(r, "seed")
 		operators := rapid.IntRange(1, 4).Draw(r, "operators")
 		share := rapid.Float64Range(0, 0.15)
-		faults := platformtest.RandomFaults{
+		faults := storetest.RandomFaults{
 			Unavailable: share.Draw(r, "unavailable"),
 			ReplyLost:   share.Draw(r, "reply lost"),
 			RequestLost: share.Draw(r, "request lost"),
--- a/bundle/proof_test.go
+++ b/bundle/proof_test.go
@@ -15,8 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/internal/proof"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 const (
@@ -103,7 +103,7 @@
 }
 
 // onWrite records each version that the store accepts.
-func (s *scenario) onWrite(e platform.Entry) {
+func (s *scenario) onWrite(e store.Entry) {
 	var p Pointer
 	if e.Key == currentKey && assert.Check(s.t, decodeValue(e.Value, &p)) {
 		s.record(versionEvent{kind: acceptedInStore, version: p.Version, digest: p.Digest})
@@ -129,7 +129,7 @@
 	case 9:
 		s.net.SetDelay(2*time.Millisecond, time.Duration(1+s.rng.IntN(500))*time.Millisecond)
 		share := 0.1 * s.rng.Float64()
-		s.plat.SetRandomFaults(platformtest.RandomFaults{
+		s.plat.SetRandomFaults(storetest.RandomFaults{
 			Seed: s.rng.Uint64(), Unavailable: share, ReplyLost: share, RequestLost: share, Late: share,
 		})
 	case 10:
@@ -151,7 +151,7 @@
 	if 2*(len(s.cut)+len(s.silent)+len(pair)) > proofDaemons {
 		return
 	}
-	s.separate(pair, s.net.Cut, platformtest.LinkSilent, cutOff)
+	s.separate(pair, s.net.Cut, storetest.LinkSilent, cutOff)
 	s.outage(false)
 	s.race(ctx)
 	time.Sleep(spreadBound)
@@ -159,12 +159,12 @@
 	n := s.replace(pair[0])
 	s.record(versionEvent{kind: cutOff, daemon: n.name})
 	time.Sleep(spreadBound)
-	s.separate(pair, s.net.Heal, platformtest.LinkUp, restored)
+	s.separate(pair, s.net.Heal, storetest.LinkUp, restored)
 	s.outage(false)
 }
 
 // separate cuts or heals the links between a pair and all other daemons.
-func (s *scenario) separate(pair []string, link func(from, to string), state platformtest.LinkState, kind versionEventKind) {
+func (s *scenario) separate(pair []string, link func(from, to string), state storetest.LinkState, kind versionEventKind) {
 	for _, name := range pair {
 		for _, p := range s.listed() {
 			if !slices.Contains(pair, p.Name) {
@@ -209,7 +209,7 @@
 		return err
 	}
 	for range 3 {
-		if _, err = s.store.Roll(ctx, id, "ana"); !errors.Is(err, platform.ErrOutcomeUnknown) {
+		if _, err = s.store.Roll(ctx, id, "ana"); !errors.Is(err, store.ErrOutcomeUnknown) {
 			return err
 		}
 	}
@@ -221,7 +221,7 @@
 	if s.cut[name] {
 		delete(s.cut, name)
 		s.net.Resume(name)
-		s.nodes[name].link.Set(platformtest.LinkUp)
+		s.nodes[name].link.Set(storetest.LinkUp)
 		s.record(versionEvent{kind: restored, daemon: name})
 		return
 	}
@@ -230,7 +230,7 @@
 	}
 	s.cut[name] = true
 	s.net.Pause(name)
-	s.nodes[name].link.Set(platformtest.LinkSilent)
+	s.nodes[name].link.Set(storetest.LinkSilent)
 	s.record(versionEvent{kind: cutOff, daemon: name})
 }
 
@@ -240,10 +240,10 @@
 	case s.cut[name]:
 	case s.silent[name]:
 		delete(s.silent, name)
-		s.nodes[name].link.Set(platformtest.LinkUp)
+		s.nodes[name].link.Set(storetest.LinkUp)
 	case 2*(len(s.cut)+len(s.silent)+1) <= proofDaemons:
 		s.silent[name] = true
-		s.nodes[name].link.Set(platformtest.LinkSilent)
+		s.nodes[name].link.Set(storetest.LinkSilent)
 	}
 }
 
@@ -265,7 +265,7 @@
 			s.toggleSilent(name)
 		}
 	}
-	s.plat.SetRandomFaults(platformtest.RandomFaults{})
+	s.plat.SetRandomFaults(storetest.RandomFaults{})
 	s.outage(false)
 }
 
--- a/bundle/propose.go
+++ b/bundle/propose.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jacinththread/jacinththread/finding"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
@@ -83,14 +83,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(value) > platform.MaxValueBytes-recordHeadroom && bytes.HasPrefix(value, gzipMagic) {
+	if len(value) > store.MaxValueBytes-recordHeadroom && bytes.HasPrefix(value, gzipMagic) {
 		return nil, &SizeError{Bytes: len(p.Content), Compressed: len(value)}
 	}
 	err = s.create(ctx, proposalKey(p.ChangeID), value)
 	if err == nil {
 		return p, nil
 	}
-	if !errors.Is(err, platform.ErrExists) {
+	if !errors.Is(err, store.ErrExists) {
 		return nil, err
 	}
 	stored, err := s.Proposal(ctx, p.ChangeID)
@@ -116,12 +116,12 @@
 	return p, err
 }
 
-func (s *Store) proposal(ctx context.Context, id string) (*Proposal, platform.Revision, error) {
+func (s *Store) proposal(ctx context.Context, id string) (*Proposal, store.Revision, error) {
 	if !changeIDRule.MatchString(id) {
 		return nil, 0, trace.Wrap(ErrBadChangeID)
 	}
 	e, err := s.kv.Get(ctx, proposalKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, trace.Wrap(ErrChangeNotFound, "change %q", id)
 	}
 	if err != nil {
@@ -209,8 +209,8 @@
 // tryAgain reports whether a swap should be repeated after reading again: its
 // outcome is unknown, or another write came first.
 func (s *Store) tryAgain(ctx context.Context, r *retry, err error) bool {
-	lostRace := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrExists) ||
-		errors.Is(err, platform.ErrNotFound)
+	lostRace := errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrExists) ||
+		errors.Is(err, store.ErrNotFound)
 	if lostRace {
 		r.attempts++
 		return r.attempts < maxAttempts && ctx.Err() == nil
--- a/bundle/prune.go
+++ b/bundle/prune.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 func (s *Store) pruneVersion(ctx context.Context, n uint64) error {
 	e, err := s.kv.Get(ctx, versionKey(n))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/bundle/record.go
+++ b/bundle/record.go
@@ -13,7 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jacinththread/jacinththread/finding"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Keys of the store.
@@ -119,14 +119,14 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if len(plain) <= platform.MaxValueBytes {
+	if len(plain) <= store.MaxValueBytes {
 		return plain, nil
 	}
 	packed, err := compress(plain)
 	if err != nil {
 		return nil, err
 	}
-	if len(packed) > platform.MaxValueBytes || len(plain) > maxValueExpanded {
+	if len(packed) > store.MaxValueBytes || len(plain) > maxValueExpanded {
 		return nil, &SizeError{Bytes: len(plain), Compressed: len(packed)}
 	}
 	return packed, nil
--- a/bundle/reference_test.go
+++ b/bundle/reference_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/peer/peertest"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // fieldTypes appends "path type" for each field of a struct type.
@@ -61,7 +61,7 @@
 	page, err := os.ReadFile("../docs/operations/bundle.md")
 	assert.NilError(t, err)
 	registry := metrics.NewRegistry()
-	NewActivator(Config{Store: platformtest.New(), Bus: peertest.NewNetwork(1).Bus("a"), Metrics: registry})
+	NewActivator(Config{Store: storetest.New(), Bus: peertest.NewNetwork(1).Bus("a"), Metrics: registry})
 	var want, got []string
 	registry.Each(func(name string, _ any) { want = append(want, name) })
 	for _, m := range regexp.MustCompile("`(bundle\\.[a-z_]+)`").FindAllStringSubmatch(string(page), -1) {
--- a/bundle/roll.go
+++ b/bundle/roll.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Roll puts an approved change in force. The record of the new version is
@@ -16,7 +16,7 @@
 // that is in force already, or was, is returned with its version.
 //
 // If another change was rolled first, the error is a *ConflictError. After
-// platform.ErrOutcomeUnknown, repeating the call tells the outcome.
+// store.ErrOutcomeUnknown, repeating the call tells the outcome.
 func (s *Store) Roll(ctx context.Context, id, operator string) (Pointer, error) {
 	p, err := s.approved(ctx, id)
 	if err != nil {
@@ -83,7 +83,7 @@
 
 // swap stores the record of the change and makes it the version in force if
 // bundle/current still has the revision.
-func (s *Store) swap(ctx context.Context, p *Proposal, operator string, rev platform.Revision) (Pointer, error) {
+func (s *Store) swap(ctx context.Context, p *Proposal, operator string, rev store.Revision) (Pointer, error) {
 	record, err := s.storeRecord(ctx, p, operator)
 	if err != nil {
 		return Pointer{}, err
@@ -120,7 +120,7 @@
 		if err == nil {
 			return r, nil
 		}
-		if !errors.Is(err, platform.ErrExists) {
+		if !errors.Is(err, store.ErrExists) {
 			return nil, err
 		}
 		taken, err := s.Version(ctx, n)
--- a/bundle/store.go
+++ b/bundle/store.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Backoff between attempts of a write whose outcome is unknown.
@@ -24,14 +24,14 @@
 // Store keeps proposals and versions in the platform's store. Every operation
 // may be repeated with the same change id. It is safe for concurrent use.
 type Store struct {
-	kv platform.Store
+	kv store.Store
 
 	mu      sync.Mutex
 	inForce *Active
 }
 
 // NewStore returns the bundle's view of a platform store.
-func NewStore(kv platform.Store) *Store {
+func NewStore(kv store.Store) *Store {
 	return &Store{kv: kv}
 }
 
@@ -45,10 +45,10 @@
 }
 
 // current returns a zero pointer and revision while no version exists.
-func (s *Store) current(ctx context.Context) (Pointer, platform.Revision, error) {
+func (s *Store) current(ctx context.Context) (Pointer, store.Revision, error) {
 	var p Pointer
 	e, err := s.kv.Get(ctx, currentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return p, 0, nil
 	}
 	if err != nil {
@@ -61,7 +61,7 @@
 // may be of a version that was never put in force.
 func (s *Store) Version(ctx context.Context, n uint64) (*Record, error) {
 	e, err := s.kv.Get(ctx, versionKey(n))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, trace.Wrap(ErrVersionNotFound, "version %d", n)
 	}
 	if err != nil {
@@ -187,9 +187,9 @@
 // again reports, after a pause, whether the write should be repeated.
 func (r *retry) again(ctx context.Context, err error) bool {
 	r.attempts++
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
 		r.unknown = true
-	} else if !r.unknown || !errors.Is(err, platform.ErrUnavailable) {
+	} else if !r.unknown || !errors.Is(err, store.ErrUnavailable) {
 		return false
 	}
 	return r.attempts < maxAttempts && r.pause(ctx)
@@ -210,8 +210,8 @@
 // result turns an outage after an attempt of unknown outcome into
 // ErrOutcomeUnknown, since that attempt may still take effect.
 func (r *retry) result(err error) error {
-	if r.unknown && errors.Is(err, platform.ErrUnavailable) {
-		return trace.Wrap(fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err))
+	if r.unknown && errors.Is(err, store.ErrUnavailable) {
+		return trace.Wrap(fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, err))
 	}
 	return trace.Wrap(err)
 }
--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/finding"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // variant returns the text of a bundle that differs from others by n.
@@ -36,7 +36,7 @@
 }
 
 func TestFirstRollAndRollback(t *testing.T) {
-	ctx, s := t.Context(), NewStore(platformtest.New())
+	ctx, s := t.Context(), NewStore(storetest.New())
 	_, err := s.InForce(ctx)
 	assert.ErrorIs(t, err, ErrNoVersion)
 	assert.Equal(t, mustRoll(t, s, "one", 0, variant(t, 1)).Version, uint64(1))
@@ -61,7 +61,7 @@
 }
 
 func TestReviewShowsTheDifference(t *testing.T) {
-	s := NewStore(platformtest.New())
+	s := NewStore(storetest.New())
 	mustRoll(t, s, "one", 0, "// first\n"+variant(t, 1))
 	_, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: "// second\n" + variant(t, 1)}, "ana")
 	assert.NilError(t, err)
@@ -73,7 +73,7 @@
 }
 
 func TestStepsRefuse(t *testing.T) {
-	ctx, s := t.Context(), NewStore(platformtest.New())
+	ctx, s := t.Context(), NewStore(storetest.New())
 	_, err := s.Propose(ctx, Change{ID: "a/b", Content: variant(t, 1)}, "ana")
 	assert.ErrorIs(t, err, ErrBadChangeID)
 	_, err = s.Propose(ctx, Change{ID: "a", Content: "{}"}, "ana")
@@ -105,7 +105,7 @@
 }
 
 func TestRacingOperators(t *testing.T) {
-	ctx, s := t.Context(), NewStore(platformtest.New())
+	ctx, s := t.Context(), NewStore(storetest.New())
 	for i, operator := range []string{"ana", "ben"} {
 		id := "change-" + operator
 		p, err := s.Propose(ctx, Change{ID: id, Content: variant(t, i)}, operator)
@@ -125,7 +125,7 @@
 // An operator that stops after storing the record and before the swap leaves a
 // number that is not used again.
 func TestStopBetweenRecordAndSwap(t *testing.T) {
-	p := platformtest.New()
+	p := storetest.New()
 	s := NewStore(p)
 	mustRoll(t, s, "one", 0, variant(t, 1))
 	for _, id := range []string{"lost", "next"} {
@@ -134,9 +134,9 @@
 		_, err = s.Approve(t.Context(), id, proposal.Digest, "ben")
 		assert.NilError(t, err)
 	}
-	p.FailNext(platformtest.OpSwap, 1, platformtest.Unavailable)
+	p.FailNext(storetest.OpSwap, 1, storetest.Unavailable)
 	_, err := s.Roll(t.Context(), "lost", "ana")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	at, err := s.Roll(t.Context(), "next", "ben")
 	assert.NilError(t, err)
 	assert.Equal(t, at.Version, uint64(3))
@@ -148,10 +148,10 @@
 }
 
 func TestLostRepliesAreSettled(t *testing.T) {
-	for _, fault := range []platformtest.Fault{platformtest.ReplyLost, platformtest.RequestLost, platformtest.Late} {
-		for _, op := range []platformtest.Op{platformtest.OpCreate, platformtest.OpSwap} {
+	for _, fault := range []storetest.Fault{storetest.ReplyLost, storetest.RequestLost, storetest.Late} {
+		for _, op := range []storetest.Op{storetest.OpCreate, storetest.OpSwap} {
 			synctest.Test(t, func(t *testing.T) {
-				p := platformtest.New()
+				p := storetest.New()
 				s := NewStore(p)
 				for i := range 3 {
 					p.FailNext(op, 1+i%2, fault)
@@ -165,18 +165,18 @@
 
 func TestOutcomeStaysUnknownWhileTheStoreIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := platformtest.New()
+		p := storetest.New()
 		s := NewStore(p)
 		mustRoll(t, s, "one", 0, variant(t, 1))
 		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
 		assert.NilError(t, err)
 		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
 		assert.NilError(t, err)
-		p.FailNext(platformtest.OpSwap, 1, platformtest.ReplyLost)
-		p.FailNext(platformtest.OpGet, 2, platformtest.None)
-		p.FailNext(platformtest.OpGet, 20, platformtest.Unavailable)
+		p.FailNext(storetest.OpSwap, 1, storetest.ReplyLost)
+		p.FailNext(storetest.OpGet, 2, storetest.None)
+		p.FailNext(storetest.OpGet, 20, storetest.Unavailable)
 		_, err = s.Roll(t.Context(), "two", "ana")
-		assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		assert.ErrorIs(t, err, store.ErrOutcomeUnknown)
 		for {
 			at, err := s.Roll(t.Context(), "two", "ana")
 			if err == nil {
@@ -188,7 +188,7 @@
 }
 
 func TestLargeBundles(t *testing.T) {
-	s := NewStore(platformtest.New())
+	s := NewStore(storetest.New())
 	many := "/*" + strings.Repeat("all the same ", 100_000) + "*/" + variant(t, 1)
 	assert.Equal(t, mustRoll(t, s, "large", 0, many).Version, uint64(1))
 	r, err := s.Version(t.Context(), 1)
@@ -203,7 +203,7 @@
 	_, err = s.Propose(t.Context(), Change{ID: "noise", Base: 1, Content: "/*" + noise.String() + "*/" + variant(t, 1)}, "ana")
 	var size *SizeError
 	assert.Assert(t, errors.As(err, &size), "%v", err)
-	assert.Assert(t, size.Compressed > platform.MaxValueBytes)
+	assert.Assert(t, size.Compressed > store.MaxValueBytes)
 }
 
 func TestDiff(t *testing.T) {
@@ -213,7 +213,7 @@
 }
 
 func TestOldVersionsArePruned(t *testing.T) {
-	p := platformtest.New()
+	p := storetest.New()
 	s := NewStore(p)
 	const rolls = KeptVersions + 20
 	_, err := s.Propose(t.Context(), Change{ID: "abandoned", Content: variant(t, 1)}, "ana")
@@ -243,14 +243,14 @@
 // while the outcome is being settled.
 func TestOutageWhileSettlingLeavesTheOutcomeUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := platformtest.New()
+		p := storetest.New()
 		s := NewStore(p)
 		mustRoll(t, s, "one", 0, variant(t, 1))
 		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
 		assert.NilError(t, err)
 		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
 		assert.NilError(t, err)
-		p.FailNext(platformtest.OpSwap, 1, platformtest.ReplyLost)
+		p.FailNext(storetest.OpSwap, 1, storetest.ReplyLost)
 		rolled := make(chan error)
 		go func() {
 			_, err := s.Roll(t.Context(), "two", "ana")
@@ -258,9 +258,9 @@
 		}()
 		synctest.Wait()
 		mustRoll(t, s, "three", 2, variant(t, 3))
-		p.FailNext(platformtest.OpGet, 1, platformtest.None)
-		p.FailNext(platformtest.OpGet, 1, platformtest.Unavailable)
-		assert.ErrorIs(t, <-rolled, platform.ErrOutcomeUnknown)
+		p.FailNext(storetest.OpGet, 1, storetest.None)
+		p.FailNext(storetest.OpGet, 1, storetest.Unavailable)
+		assert.ErrorIs(t, <-rolled, store.ErrOutcomeUnknown)
 		at, err := s.Roll(t.Context(), "two", "ana")
 		assert.NilError(t, err)
 		assert.Equal(t, at.Version, uint64(2))
--- a/capacity/members.go
+++ b/capacity/members.go
@@ -13,7 +13,7 @@
 
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer/peertest"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
@@ -28,22 +28,22 @@
 // staticHosts is a host list that counts its reads.
 type staticHosts struct {
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []store.Host
 	reads int
 }
 
-// Hosts implements platform.HostList.
-func (l *staticHosts) Hosts(context.Context) ([]platform.Host, error) {
+// Hosts implements store.HostList.
+func (l *staticHosts) Hosts(context.Context) ([]store.Host, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
-	return append([]platform.Host(nil), l.hosts...), nil
+	return append([]store.Host(nil), l.hosts...), nil
 }
 
 func (l *staticHosts) leave(i int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts[i].State = platform.HostLeaving
+	l.hosts[i].State = store.HostLeaving
 }
 
 func (l *staticHosts) count() int {
@@ -53,12 +53,12 @@
 }
 
 func newHosts(servers int) *staticHosts {
-	l := &staticHosts{hosts: []platform.Host{{Name: "entry-000", Service: "jacinththread", State: platform.HostLive}}}
+	l := &staticHosts{hosts: []store.Host{{Name: "entry-000", Service: "jacinththread", State: store.HostLive}}}
 	for i := range servers {
-		l.hosts = append(l.hosts, platform.Host{
+		l.hosts = append(l.hosts, store.Host{
 			Name: fmt.Sprintf("llm-%04d", i), Addr: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250),
 			Service: "pembantu-llm", Region: fmt.Sprintf("region-%d", i%regions),
-			Domain: fmt.Sprintf("domain-%d", i%domains), State: platform.HostLive,
+			Domain: fmt.Sprintf("domain-%d", i%domains), State: store.HostLive,
 		})
 	}
 	return l
@@ -205,7 +205,7 @@
 }
 
 // measureHostList measures the text of the host list, as a poller reads it.
-func measureHostList(t *testing.T, r *recorder, hosts []platform.Host) {
+func measureHostList(t *testing.T, r *recorder, hosts []store.Host) {
 	text, err := json.Marshal(hosts)
 	assert.NilError(t, err)
 	series := func(id, cost string) Series {
@@ -214,7 +214,7 @@
 	size := float64(len(hosts))
 	r.add(series("H1", "bytes of the host list"), size, float64(len(text)))
 	r.add(series("H2", "microseconds to decode it"), size, perCall(t, 20, func() {
-		var out []platform.Host
+		var out []store.Host
 		if err := json.Unmarshal(text, &out); err != nil {
 			t.Fatal(err)
 		}
--- a/claims/begin.go
+++ b/claims/begin.go
@@ -10,7 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // beginTries bounds the store operations that Begin repeats.
@@ -33,7 +33,7 @@
 	value []byte
 	// rev is the revision of the released record to replace; zero means that
 	// the key is taken for absent.
-	rev platform.Revision
+	rev store.Revision
 	// read is set when the key must be read before the next write.
 	read bool
 	// sent is set after a write whose outcome is unknown.
@@ -129,7 +129,7 @@
 }
 
 // put writes the claim over what the key is taken to hold.
-func (s *Service) put(ctx context.Context, c *claim) (platform.Revision, error) {
+func (s *Service) put(ctx context.Context, c *claim) (store.Revision, error) {
 	if c.rev == 0 {
 		return s.store.Create(ctx, c.key, c.value)
 	}
@@ -139,7 +139,7 @@
 // look reads the key and judges what it holds.
 func (s *Service) look(ctx context.Context, c *claim) (v Verdict, failed bool) {
 	e, err := s.store.Get(ctx, c.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		c.read, c.exists, c.rev = false, false, 0
 		return 0, false
 	}
@@ -158,7 +158,7 @@
 
 // judge returns the verdict for a stored record, or zero if the record was
 // released and the claim may replace it.
-func (s *Service) judge(c *claim, rec record, rev platform.Revision) Verdict {
+func (s *Service) judge(c *claim, rec record, rev store.Revision) Verdict {
 	c.rev = rev
 	switch {
 	case rec.Attempt == c.id:
--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -7,13 +7,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/claims"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // BenchmarkCall measures a call that runs once, without the store's latency,
 // and reports the calls on the store.
 func BenchmarkCall(b *testing.B) {
-	store := platformtest.New()
+	store := storetest.New()
 	s := claims.New(claims.Config{Store: store, Owner: "d1"})
 	n := 0
 	for b.Loop() {
@@ -28,7 +28,7 @@
 
 // BenchmarkRepeat measures a repeat that gets the recorded answer.
 func BenchmarkRepeat(b *testing.B) {
-	store := platformtest.New()
+	store := storetest.New()
 	s := claims.New(claims.Config{Store: store, Owner: "d1"})
 	a, err := s.Begin(b.Context(), testKey, digestA)
 	assert.NilError(b, err)
--- a/claims/fuzz_test.go
+++ b/claims/fuzz_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/jacinththread/jacinththread/claims"
 	"github.com/jacinththread/jacinththread/internal/proof"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 const (
@@ -63,7 +63,7 @@
 type fuzzScript struct {
 	Calls   []fuzzCall
 	Faults  []fuzzFault
-	Random  platformtest.RandomFaults
+	Random  storetest.RandomFaults
 	LateBy  time.Duration
 	Latency time.Duration
 }
@@ -104,7 +104,7 @@
 	return fuzzScript{
 		Calls:  rapid.SliceOfN(drawCall, 2, 16).Draw(t, "calls"),
 		Faults: rapid.SliceOfN(drawFault, 0, 4).Draw(t, "faults"),
-		Random: platformtest.RandomFaults{
+		Random: storetest.RandomFaults{
 			Seed:        rapid.Uint64().Draw(t, "seed"),
 			Unavailable: share.Draw(t, "unavailable"),
 			ReplyLost:   share.Draw(t, "reply lost"),
@@ -120,14 +120,14 @@
 type instance struct {
 	owner   string
 	service *claims.Service
-	link    *platformtest.Link
+	link    *storetest.Link
 	crashed bool
 }
 
 // world runs one script.
 type world struct {
 	t       *testing.T
-	store   *platformtest.Platform
+	store   *storetest.Platform
 	hist    *history
 	calls   sync.WaitGroup
 	mu      sync.Mutex
@@ -142,7 +142,7 @@
 
 func newWorld(t *testing.T, s fuzzScript) *world {
 	w := &world{
-		t: t, store: platformtest.New(), hist: &history{start: time.Now()},
+		t: t, store: storetest.New(), hist: &history{start: time.Now()},
 		dead: map[string]bool{}, ran: map[string]int{},
 		open: map[string]int{}, finished: map[string]string{},
 	}
@@ -201,10 +201,10 @@
 	case faultSuspect:
 		w.markDead(in.owner)
 	case faultSilent:
-		in.link.Set(platformtest.LinkSilent)
+		in.link.Set(storetest.LinkSilent)
 		time.Sleep(f.For)
 		if !w.isCrashed(in) {
-			in.link.Set(platformtest.LinkUp)
+			in.link.Set(storetest.LinkUp)
 		}
 	case faultCrash:
 		w.crash(f.Daemon, in)
@@ -226,7 +226,7 @@
 	in.crashed = true
 	w.daemons[n] = w.spawn(n)
 	w.mu.Unlock()
-	in.link.Set(platformtest.LinkDown)
+	in.link.Set(storetest.LinkDown)
 	w.stop(in)
 	w.markDead(in.owner)
 }
@@ -345,7 +345,7 @@
 	}
 	w.calls.Wait()
 	w.store.SetDown(false)
-	w.store.SetRandomFaults(platformtest.RandomFaults{})
+	w.store.SetRandomFaults(storetest.RandomFaults{})
 	time.Sleep(fuzzSettle)
 	out := settled{hist: w.hist, ran: w.ran, open: w.open, finished: w.finished, last: map[string]op{}}
 	for k := range fuzzKeys {
--- a/claims/outcome.go
+++ b/claims/outcome.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // outcomeTries bounds the tries to store an outcome before they go on in the
@@ -23,7 +23,7 @@
 	key string
 	rec record
 	// rev is the claim's revision; zero means that it has to be read.
-	rev platform.Revision
+	rev store.Revision
 	// fence is set when a create or swap of the attempt may still take effect.
 	fence bool
 }
@@ -112,7 +112,7 @@
 // zero if the key is absent and a fence has to be created.
 func (s *Service) locate(ctx context.Context, c *change) (needed bool, err error) {
 	e, err := s.store.Get(ctx, c.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		if c.fence {
 			return true, nil
 		}
--- a/claims/service.go
+++ b/claims/service.go
@@ -9,7 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Defaults of Config.
@@ -22,7 +22,7 @@
 // Config is what a Service needs.
 type Config struct {
 	// Store holds the claims.
-	Store platform.Store
+	Store store.Store
 	// Owner names this daemon and its incarnation, as recorded in claims. It
 	// must differ after every restart.
 	Owner string
@@ -67,7 +67,7 @@
 type held struct {
 	key string
 	rec record
-	rev platform.Revision
+	rev store.Revision
 }
 
 var _ Claimer = (*Service)(nil)
--- a/claims/service_test.go
+++ b/claims/service_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/claims"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 var (
@@ -26,12 +26,12 @@
 // fixture is one platform with daemons on it.
 type fixture struct {
 	t     *testing.T
-	store *platformtest.Platform
+	store *storetest.Platform
 	dead  map[string]bool
 }
 
 func newFixture(t *testing.T) *fixture {
-	return &fixture{t: t, store: platformtest.New(), dead: map[string]bool{}}
+	return &fixture{t: t, store: storetest.New(), dead: map[string]bool{}}
 }
 
 // daemon starts a claims service that stops with the test.
@@ -90,8 +90,8 @@
 		s := f.daemon("d1")
 		a := f.begin(s, digestA, claims.Run)
 		assert.NilError(t, s.Finish(t.Context(), a, okay))
-		assert.Equal(t, f.store.Calls(platformtest.OpCreate), 1)
-		assert.Equal(t, f.store.Calls(platformtest.OpSwap), 1)
+		assert.Equal(t, f.store.Calls(storetest.OpCreate), 1)
+		assert.Equal(t, f.store.Calls(storetest.OpSwap), 1)
 		assert.Equal(t, f.store.TotalCalls(), 2)
 	})
 }
@@ -157,19 +157,19 @@
 	bubble(t, func(t *testing.T, f *fixture) {
 		s := f.daemon("d1")
 		f.begin(s, digestA, claims.Run)
-		f.store.FailNext(platformtest.OpGet, 10, platformtest.Unavailable)
+		f.store.FailNext(storetest.OpGet, 10, storetest.Unavailable)
 		f.begin(s, digestA, claims.Undecided)
 	})
 }
 
 func TestLostRepliesOfTheCreateAreSettled(t *testing.T) {
-	faults := []platformtest.Fault{
-		platformtest.ReplyLost, platformtest.RequestLost, platformtest.Late,
+	faults := []storetest.Fault{
+		storetest.ReplyLost, storetest.RequestLost, storetest.Late,
 	}
 	for _, fault := range faults {
 		bubble(t, func(t *testing.T, f *fixture) {
 			s := f.daemon("d1")
-			f.store.FailNext(platformtest.OpCreate, 1, fault)
+			f.store.FailNext(storetest.OpCreate, 1, fault)
 			a := f.begin(s, digestA, claims.Run)
 			time.Sleep(time.Minute)
 			f.begin(s, digestA, claims.InProgress)
@@ -183,8 +183,8 @@
 	bubble(t, func(t *testing.T, f *fixture) {
 		f.store.SetLateBy(5 * time.Second)
 		one, two := f.daemon("d1"), f.daemon("d2")
-		f.store.FailNext(platformtest.OpCreate, 1, platformtest.Late)
-		f.store.FailNext(platformtest.OpGet, 3, platformtest.Unavailable)
+		f.store.FailNext(storetest.OpCreate, 1, storetest.Late)
+		f.store.FailNext(storetest.OpGet, 3, storetest.Unavailable)
 		f.begin(one, digestA, claims.Undecided)
 		time.Sleep(time.Minute)
 		f.begin(two, digestB, claims.Run)
@@ -195,7 +195,7 @@
 	bubble(t, func(t *testing.T, f *fixture) {
 		f.store.SetLateBy(5 * time.Second)
 		s := f.daemon("d1")
-		f.store.FailNext(platformtest.OpCreate, 1, platformtest.Late)
+		f.store.FailNext(storetest.OpCreate, 1, storetest.Late)
 		s.Release(f.begin(s, digestA, claims.Run))
 		time.Sleep(time.Minute)
 		f.begin(s, digestB, claims.Run)
@@ -205,8 +205,8 @@
 func TestUndecidedAttemptThatTookEffectIsWithdrawn(t *testing.T) {
 	bubble(t, func(t *testing.T, f *fixture) {
 		one, two := f.daemon("d1"), f.daemon("d2")
-		f.store.FailNext(platformtest.OpCreate, 1, platformtest.ReplyLost)
-		f.store.FailNext(platformtest.OpGet, 3, platformtest.Unavailable)
+		f.store.FailNext(storetest.OpCreate, 1, storetest.ReplyLost)
+		f.store.FailNext(storetest.OpGet, 3, storetest.Unavailable)
 		f.begin(one, digestA, claims.Undecided)
 		time.Sleep(time.Minute)
 		f.begin(two, digestB, claims.Run)
@@ -219,9 +219,9 @@
 		one, two := f.daemon("d1"), f.daemon("d2")
 		one.Release(f.begin(one, digestA, claims.Run))
 		synctest.Wait()
-		f.store.FailNext(platformtest.OpSwap, 1, platformtest.Late)
-		f.store.FailNext(platformtest.OpGet, 1, platformtest.None)
-		f.store.FailNext(platformtest.OpGet, 3, platformtest.Unavailable)
+		f.store.FailNext(storetest.OpSwap, 1, storetest.Late)
+		f.store.FailNext(storetest.OpGet, 1, storetest.None)
+		f.store.FailNext(storetest.OpGet, 3, storetest.Unavailable)
 		f.begin(one, digestA, claims.Undecided)
 		time.Sleep(time.Minute)
 		f.begin(two, digestB, claims.Run)
--- a/claims/store.go
+++ b/claims/store.go
@@ -7,7 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // counts are the metrics of a Service.
@@ -42,7 +42,7 @@
 // countingStore bounds and counts the calls on a store. Its calls outlive the
 // caller's context, because a canceled write has an unknown outcome.
 type countingStore struct {
-	platform.Store
+	store.Store
 	timeout time.Duration
 	counts  *counts
 }
@@ -51,40 +51,40 @@
 	return context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
 }
 
-// Get implements platform.Store.
-func (c *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements store.Store.
+func (c *countingStore) Get(ctx context.Context, key string) (store.Entry, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	c.counts.reads.Inc(1)
 	return c.Store.Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (c *countingStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements store.Store.
+func (c *countingStore) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	c.counts.reads.Inc(1)
 	return c.Store.List(ctx, prefix)
 }
 
-// Create implements platform.Store.
-func (c *countingStore) Create(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+// Create implements store.Store.
+func (c *countingStore) Create(ctx context.Context, key string, value []byte) (store.Revision, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	c.counts.writes.Inc(1)
 	return c.Store.Create(ctx, key, value)
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *countingStore) CompareAndSwap(ctx context.Context, key string, rev platform.Revision, value []byte) (platform.Revision, error) {
+// CompareAndSwap implements store.Store.
+func (c *countingStore) CompareAndSwap(ctx context.Context, key string, rev store.Revision, value []byte) (store.Revision, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	c.counts.writes.Inc(1)
 	return c.Store.CompareAndSwap(ctx, key, rev, value)
 }
 
-// Delete implements platform.Store.
-func (c *countingStore) Delete(ctx context.Context, key string, rev platform.Revision) error {
+// Delete implements store.Store.
+func (c *countingStore) Delete(ctx context.Context, key string, rev store.Revision) error {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	c.counts.writes.Inc(1)
@@ -110,12 +110,12 @@
 	switch {
 	case err == nil:
 		return writeDone
-	case errors.Is(err, platform.ErrExists),
-		errors.Is(err, platform.ErrConflict),
-		errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrExists),
+		errors.Is(err, store.ErrConflict),
+		errors.Is(err, store.ErrNotFound):
 		return writeRefused
-	case errors.Is(err, platform.ErrUnavailable),
-		errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrUnavailable),
+		errors.Is(err, store.ErrTooLarge):
 		return writeNoEffect
 	default:
 		return writeUnknown
--- a/claims/sweep.go
+++ b/claims/sweep.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // sweepBatch bounds the writes of one look at a shard.
@@ -80,7 +80,7 @@
 
 // sweepEntry handles one entry and reports whether it wrote. A failed write is
 // left to the next round: both writes are bound to the revision.
-func (s *Service) sweepEntry(ctx context.Context, e platform.Entry, now time.Time, retention time.Duration) bool {
+func (s *Service) sweepEntry(ctx context.Context, e store.Entry, now time.Time, retention time.Duration) bool {
 	rec, err := decodeRecord(e.Value)
 	if err != nil {
 		s.unreadable(e.Key, err)
@@ -100,7 +100,7 @@
 	}
 }
 
-func (s *Service) markAbandoned(ctx context.Context, e platform.Entry, rec record) {
+func (s *Service) markAbandoned(ctx context.Context, e store.Entry, rec record) {
 	value, err := rec.encode()
 	if err != nil {
 		s.log.Error("claim record is not encodable", "key", e.Key, "err", err)
--- a/claims/sweep_test.go
+++ b/claims/sweep_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/claims"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // fullRound is longer than one look at every shard.
@@ -67,7 +67,7 @@
 		}
 		time.Sleep(256*time.Second + time.Millisecond)
 		synctest.Wait()
-		assert.Equal(t, f.store.Calls(platformtest.OpList), 256)
+		assert.Equal(t, f.store.Calls(storetest.OpList), 256)
 	})
 }
 
--- a/ctl/operator_flow_test.go
+++ b/ctl/operator_flow_test.go
@@ -12,7 +12,7 @@
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/operator"
 	"github.com/jacinththread/jacinththread/operator/operatorapi"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
 
@@ -71,7 +71,7 @@
 // TestBundleFlow drives the operators' interface itself, from the first
 // version to a second one and a change that lost the race.
 func TestBundleFlow(t *testing.T) {
-	kv := platformtest.New()
+	kv := storetest.New()
 	d := &deployment{store: bundle.NewStore(kv)}
 	server := httptest.NewServer(operator.New(operator.Config{
 		Store: kv, Source: &source{store: d.store, t: t}, View: d, Queues: d,
--- a/daemon/backends_test.go
+++ b/daemon/backends_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // counter returns the value of a counter.
@@ -66,7 +66,7 @@
 	d.start(1)
 	d.roll()
 	daemon := d.daemons[0]
-	d.hosts[0].State = platform.HostLeaving
+	d.hosts[0].State = store.HostLeaving
 	d.platform.SetHosts(d.hosts)
 	d.wait("leaving", func() bool { return daemon.gauges(d, "membership.servers.leaving")[0] == 1 })
 	ran := len(d.engines[0].Runs())
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -28,8 +28,8 @@
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
 	"github.com/jacinththread/jacinththread/kernel"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/httpstore"
 	"github.com/jacinththread/jacinththread/settings"
 )
 
@@ -76,7 +76,7 @@
 	platformURL string
 	engines     []*engine.Engine
 	ledger      *plain.Server
-	hosts       []platform.Host
+	hosts       []store.Host
 	http        *http.Client
 	kv          *httpstore.Client
 	daemons     []*testDaemon
@@ -138,8 +138,8 @@
 }
 
 func (d *deployment) addHost(name, addr, service string) {
-	d.hosts = append(d.hosts, platform.Host{
-		Name: name, Addr: addr, Service: service, Region: region, Domain: "prai", State: platform.HostLive,
+	d.hosts = append(d.hosts, store.Host{
+		Name: name, Addr: addr, Service: service, Region: region, Domain: "prai", State: store.HostLive,
 	})
 	d.platform.SetHosts(d.hosts)
 }
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -7,7 +7,7 @@
 	"github.com/jacinththread/jacinththread/kernel"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer"
-	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/store/httpstore"
 )
 
 type platformService struct {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,7 +12,7 @@
 	"github.com/jacinththread/jacinththread/dispatch"
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 const streamed = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
@@ -171,7 +171,7 @@
 
 func TestClaimWithLostReplyRunsOnce(t *testing.T) {
 	h := newHarness(t)
-	h.store.FailNext(platformtest.OpCreate, 1, platformtest.ReplyLost)
+	h.store.FailNext(storetest.OpCreate, 1, storetest.ReplyLost)
 	a := h.call(http.MethodPost, "/services/ledger/postings", "fee=10", HeaderIdempotency, "k1")
 	assert.Equal(t, a.status, http.StatusOK)
 	assert.Equal(t, len(h.ledger.Runs()), 1)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -23,7 +23,7 @@
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer/peertest"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/scheduler"
 	"github.com/jacinththread/jacinththread/settings"
@@ -113,7 +113,7 @@
 	t       *testing.T
 	url     string
 	view    *fakeView
-	store   *platformtest.Platform
+	store   *storetest.Platform
 	engines map[string]*engine.Engine
 	ledger  *plain.Server
 	metrics metrics.Registry
@@ -148,7 +148,7 @@
 	h := &harness{
 		t:       t,
 		view:    &fakeView{changed: make(chan struct{})},
-		store:   platformtest.New(),
+		store:   storetest.New(),
 		engines: map[string]*engine.Engine{},
 		ledger:  plain.New(plain.Config{Name: "ledger-1"}),
 		metrics: metrics.NewRegistry(),
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
@@ -39,7 +39,7 @@
 		return
 	}
 	if hosts == nil {
-		hosts = []platform.Host{}
+		hosts = []store.Host{}
 	}
 	tag, err := tagOf(hosts)
 	if err != nil {
@@ -55,7 +55,7 @@
 }
 
 // tagOf returns the entity tag of a host list.
-func tagOf(hosts []platform.Host) (string, error) {
+func tagOf(hosts []store.Host) (string, error) {
 	body, err := json.Marshal(hosts)
 	if err != nil {
 		return "", err
@@ -94,7 +94,7 @@
 	wait := min(time.Duration(waitMs)*time.Millisecond, maxWatchWait)
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	e, err := s.store.Watch(ctx, key, platform.Revision(after))
+	e, err := s.store.Watch(ctx, key, store.Revision(after))
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		w.WriteHeader(http.StatusNotModified)
@@ -110,7 +110,7 @@
 	if !ok {
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
 	if err != nil {
 		writeRefusal(w, http.StatusBadRequest, "bad_request", "body was not received whole")
 		return
@@ -142,7 +142,7 @@
 }
 
 func (s *Standin) adminHosts(w http.ResponseWriter, r *http.Request) {
-	var hosts []platform.Host
+	var hosts []store.Host
 	if readAdmin(w, r, &hosts) {
 		s.SetHosts(hosts)
 		w.WriteHeader(http.StatusNoContent)
@@ -182,17 +182,17 @@
 	return key, true
 }
 
-func expected(w http.ResponseWriter, r *http.Request) (platform.Revision, bool) {
+func expected(w http.ResponseWriter, r *http.Request) (store.Revision, bool) {
 	tag := strings.Trim(r.Header.Get("If-Match"), `"`)
 	rev, err := strconv.ParseUint(tag, 10, 64)
 	if err != nil {
 		writeRefusal(w, http.StatusPreconditionRequired, "bad_request", "If-Match with a revision is required")
 		return 0, false
 	}
-	return platform.Revision(rev), true
+	return store.Revision(rev), true
 }
 
-func writeEntry(w http.ResponseWriter, e platform.Entry) {
+func writeEntry(w http.ResponseWriter, e store.Entry) {
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(e.Revision), 10)))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	if e.Deleted {
@@ -201,7 +201,7 @@
 	_, _ = w.Write(e.Value)
 }
 
-func writeRevision(w http.ResponseWriter, status int, rev platform.Revision, err error) {
+func writeRevision(w http.ResponseWriter, status int, rev store.Revision, err error) {
 	if err != nil {
 		writeError(w, err)
 		return
@@ -217,14 +217,14 @@
 
 func writeError(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		// Breaks the connection, as a lost reply does.
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		writeRefusal(w, http.StatusNotFound, "not_found", err.Error())
-	case errors.Is(err, platform.ErrExists), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrExists), errors.Is(err, store.ErrConflict):
 		writeRefusal(w, http.StatusPreconditionFailed, "conflict", err.Error())
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		writeRefusal(w, http.StatusRequestEntityTooLarge, "too_large", err.Error())
 	default:
 		writeRefusal(w, http.StatusServiceUnavailable, "unavailable", err.Error())
--- a/internal/standin/platform/standin.go
+++ b/internal/standin/platform/standin.go
@@ -8,25 +8,25 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // Standin serves a platform from memory.
 type Standin struct {
-	store *platformtest.Platform
+	store *storetest.Platform
 }
 
 // New returns a stand-in with an empty store and host list.
 func New() *Standin {
-	return &Standin{store: platformtest.New()}
+	return &Standin{store: storetest.New()}
 }
 
 // SetHosts replaces the host list.
-func (s *Standin) SetHosts(hosts []platform.Host) { s.store.SetHosts(hosts) }
+func (s *Standin) SetHosts(hosts []store.Host) { s.store.SetHosts(hosts) }
 
 // Store returns the store behind the stand-in.
-func (s *Standin) Store() *platformtest.Platform { return s.store }
+func (s *Standin) Store() *storetest.Platform { return s.store }
 
 // Handler serves the platform's protocol and the admin calls.
 func (s *Standin) Handler() http.Handler {
@@ -59,7 +59,7 @@
 	s.store.SetDown(f.Down)
 	s.store.SetLatency(time.Duration(f.SlowMs) * time.Millisecond)
 	s.store.SetHostLag(time.Duration(f.HostLagMs) * time.Millisecond)
-	for _, op := range []platformtest.Op{platformtest.OpCreate, platformtest.OpSwap, platformtest.OpDelete} {
-		s.store.FailNext(op, f.LoseReplies, platformtest.ReplyLost)
+	for _, op := range []storetest.Op{storetest.OpCreate, storetest.OpSwap, storetest.OpDelete} {
+		s.store.FailNext(op, f.LoseReplies, storetest.ReplyLost)
 	}
 }
--- a/membership/chaos_test.go
+++ b/membership/chaos_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
@@ -135,9 +135,9 @@
 	i := x.rng.IntN(chaosServers)
 	switch x.rng.IntN(4) {
 	case 0:
-		x.list.set(func(l *hostList) { l.hosts[i].State = platform.HostLeaving })
+		x.list.set(func(l *hostList) { l.hosts[i].State = store.HostLeaving })
 	case 1:
-		x.list.set(func(l *hostList) { l.hosts[i].State = platform.HostLive })
+		x.list.set(func(l *hostList) { l.hosts[i].State = store.HostLive })
 	case 2:
 		x.nextIP++
 		x.list.set(func(l *hostList) { l.hosts[i].Addr = fmt.Sprintf("10.0.9.%d:8000", x.nextIP) })
@@ -168,7 +168,7 @@
 func (x *chaos) serversMatch(observer string) bool {
 	for _, h := range x.list.hosts {
 		srv, ok := x.services[observer].Server(h.Name)
-		if !ok || srv.Addr != h.Addr || srv.Leaving != (h.State == platform.HostLeaving) {
+		if !ok || srv.Addr != h.Addr || srv.Leaving != (h.State == store.HostLeaving) {
 			return false
 		}
 	}
--- a/membership/cluster_test.go
+++ b/membership/cluster_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/peer/peertest"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const daemonService = "jacinththread"
@@ -20,20 +20,20 @@
 // hostList is a host list that tests change, break and count.
 type hostList struct {
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []store.Host
 	down  bool
 	calls int
 }
 
-// Hosts implements platform.HostList.
-func (l *hostList) Hosts(context.Context) ([]platform.Host, error) {
+// Hosts implements store.HostList.
+func (l *hostList) Hosts(context.Context) ([]store.Host, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.down {
 		return nil, errors.New("host list is down")
 	}
-	return append([]platform.Host(nil), l.hosts...), nil
+	return append([]store.Host(nil), l.hosts...), nil
 }
 
 func (l *hostList) set(change func(*hostList)) {
@@ -50,10 +50,10 @@
 	return n
 }
 
-func serverHost(i int) platform.Host {
-	return platform.Host{
+func serverHost(i int) store.Host {
+	return store.Host{
 		Name: fmt.Sprintf("llm-%02d", i), Addr: fmt.Sprintf("10.0.1.%d:8000", i),
-		Service: "pembantu-llm", Region: "utara", Domain: "prai", State: platform.HostLive,
+		Service: "pembantu-llm", Region: "utara", Domain: "prai", State: store.HostLive,
 	}
 }
 
--- a/membership/config.go
+++ b/membership/config.go
@@ -9,7 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/jacinththread/jacinththread/peer"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Defaults of Config.
@@ -35,7 +35,7 @@
 	Self Daemon
 	Bus  peer.Bus
 	// Hosts is the platform's host list.
-	Hosts platform.HostList
+	Hosts store.HostList
 	// DaemonService is the service name of the daemons in the host list. All
 	// other hosts are backend servers.
 	DaemonService string
--- a/membership/hostlist_test.go
+++ b/membership/hostlist_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // leavingLimit is the time until a server that the host list shows as leaving
@@ -21,7 +21,7 @@
 func TestLeavingServerIsSeenEverywhereInTime(t *testing.T) {
 	for _, n := range []int{7, 50} {
 		inCluster(t, n, 20, func(c *cluster) {
-			c.list.set(func(l *hostList) { l.hosts[4].State = platform.HostLeaving })
+			c.list.set(func(l *hostList) { l.hosts[4].State = store.HostLeaving })
 			took := c.waitFor(leavingLimit, "leaving of llm-04", func(o string) bool { return c.leaving(o, "llm-04") })
 			t.Logf("%d daemons: leaving seen everywhere after %v", n, took)
 			c.list.set(func(l *hostList) { l.hosts = l.hosts[:19] })
@@ -37,7 +37,7 @@
 func TestLeavingServerIsSeenUnderLoss(t *testing.T) {
 	inCluster(t, 20, 5, func(c *cluster) {
 		c.net.SetLoss(0.2, 0.1)
-		c.list.set(func(l *hostList) { l.hosts[4].State = platform.HostLeaving })
+		c.list.set(func(l *hostList) { l.hosts[4].State = store.HostLeaving })
 		c.waitFor(leavingLimit, "leaving of llm-04", func(o string) bool { return c.leaving(o, "llm-04") })
 	})
 }
@@ -80,7 +80,7 @@
 		for _, s := range c.services {
 			assert.Equal(t, len(s.Servers("pembantu-llm")), 5, "an empty list counts as an outage")
 		}
-		c.list.set(func(l *hostList) { l.hosts = []platform.Host{serverHost(0)} })
+		c.list.set(func(l *hostList) { l.hosts = []store.Host{serverHost(0)} })
 		c.waitFor(leavingLimit, "the new list", func(o string) bool { return len(c.services[o].Servers("pembantu-llm")) == 1 })
 	})
 }
--- a/membership/servers.go
+++ b/membership/servers.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // leavingHold is how long a server counts as leaving or gone although the
@@ -54,7 +54,7 @@
 }
 
 // mergeHosts takes over a host list that was just read.
-func (s *Service) mergeHosts(hosts []platform.Host) {
+func (s *Service) mergeHosts(hosts []store.Host) {
 	listed := make(map[string]bool, len(hosts))
 	daemons := make(map[string]string)
 	for _, h := range hosts {
@@ -79,11 +79,11 @@
 }
 
 // mergeHost takes over one backend server of the host list.
-func (s *Service) mergeHost(h platform.Host) {
+func (s *Service) mergeHost(h store.Host) {
 	r := serverRecord{
 		Name: h.Name, Addr: h.Addr, Service: h.Service, Region: h.Region, Domain: h.Domain, State: serverLive,
 	}
-	if h.State == platform.HostLeaving {
+	if h.State == store.HostLeaving {
 		r.State = serverLeaving
 	}
 	old, known := s.servers[h.Name]
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -8,7 +8,7 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/finding"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 var (
@@ -60,8 +60,8 @@
 	{bundle.ErrOwnChange, http.StatusForbidden, "own_change"},
 	{bundle.ErrHistoryPruned, http.StatusGone, "history_pruned"},
 	{bundle.ErrNoVersion, http.StatusServiceUnavailable, "no_version"},
-	{platform.ErrOutcomeUnknown, http.StatusServiceUnavailable, "outcome_unknown"},
-	{platform.ErrUnavailable, http.StatusServiceUnavailable, "store_unavailable"},
+	{store.ErrOutcomeUnknown, http.StatusServiceUnavailable, "outcome_unknown"},
+	{store.ErrUnavailable, http.StatusServiceUnavailable, "store_unavailable"},
 	{context.DeadlineExceeded, http.StatusServiceUnavailable, "store_unavailable"},
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,7 +14,7 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
 
@@ -35,7 +35,7 @@
 // Config configures the interface.
 type Config struct {
 	// Store keeps proposals and versions.
-	Store platform.Store
+	Store store.Store
 	// Source gives the version in force on this daemon.
 	Source bundle.Source
 	View   membership.View
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -14,7 +14,7 @@
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/operator/operatorapi"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store/storetest"
 	"github.com/jacinththread/jacinththread/scheduler"
 )
 
@@ -60,13 +60,13 @@
 // harness is the interface over a store in memory.
 type harness struct {
 	t       *testing.T
-	plat    *platformtest.Platform
+	plat    *storetest.Platform
 	source  *fakeSource
 	handler http.Handler
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, plat: platformtest.New(), source: &fakeSource{}}
+	h := &harness{t: t, plat: storetest.New(), source: &fakeSource{}}
 	h.handler = New(Config{Store: h.plat, Source: h.source, View: &fakeView{}, Queues: &fakeQueues{}})
 	return h
 }
--- a/platform/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // Error codes of the protocol.
@@ -34,11 +34,11 @@
 	header, value string
 }
 
-func ifMatch(rev platform.Revision) condition {
+func ifMatch(rev store.Revision) condition {
 	return condition{header: "If-Match", value: etag(rev)}
 }
 
-func etag(rev platform.Revision) string {
+func etag(rev store.Revision) string {
 	return strconv.Quote(strconv.FormatUint(uint64(rev), 10))
 }
 
@@ -96,16 +96,16 @@
 	r, _, err := c.call(ctx, http.MethodGet, u, cond, nil)
 	if err != nil {
 		c.failures.Inc(1)
-		return reply{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return reply{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	if r.status == http.StatusOK || r.status == http.StatusNotModified {
 		return r, nil
 	}
-	if err := r.refusal(); err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err := r.refusal(); err != nil && !errors.Is(err, store.ErrUnavailable) {
 		return reply{}, err
 	}
 	c.failures.Inc(1)
-	return reply{}, fmt.Errorf("%w: unexpected status %d", platform.ErrUnavailable, r.status)
+	return reply{}, fmt.Errorf("%w: unexpected status %d", store.ErrUnavailable, r.status)
 }
 
 func readJSON[T any](ctx context.Context, c *Client, u *url.URL) (T, error) {
@@ -116,22 +116,22 @@
 	}
 	if err := json.Unmarshal(r.body, &v); err != nil {
 		c.failures.Inc(1)
-		return v, fmt.Errorf("%w: malformed reply: %w", platform.ErrUnavailable, err)
+		return v, fmt.Errorf("%w: malformed reply: %w", store.ErrUnavailable, err)
 	}
 	return v, nil
 }
 
 // write sends a conditional write.
-func (c *Client) write(ctx context.Context, method, key string, cond condition, value []byte) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+func (c *Client) write(ctx context.Context, method, key string, cond condition, value []byte) (store.Revision, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	r, sent, err := c.call(ctx, method, c.keyURL(key), cond, value)
 	if err != nil && !sent {
 		c.failures.Inc(1)
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	if err != nil {
 		return 0, c.unknown(err)
@@ -151,7 +151,7 @@
 
 func (c *Client) unknown(cause error) error {
 	c.unknowns.Inc(1)
-	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, cause)
+	return fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, cause)
 }
 
 // refusal returns the error of a reply that follows the protocol, else nil. A
@@ -164,30 +164,30 @@
 	}
 	switch {
 	case r.status == http.StatusNotFound && e.Error.Code == codeNotFound:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case r.status == http.StatusPreconditionFailed && e.Error.Code == codeConflict:
-		return platform.ErrConflict
+		return store.ErrConflict
 	case r.status == http.StatusServiceUnavailable && e.Error.Code == codeUnavailable:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case r.status == http.StatusRequestEntityTooLarge && e.Error.Code == codeTooLarge:
-		return platform.ErrTooLarge
+		return store.ErrTooLarge
 	}
 	return nil
 }
 
-func (r reply) revision() (platform.Revision, error) {
+func (r reply) revision() (store.Revision, error) {
 	n, err := strconv.ParseUint(strings.Trim(r.header.Get("ETag"), `"`), 10, 64)
 	if err != nil {
 		return 0, fmt.Errorf("reply has no revision: %w", err)
 	}
-	return platform.Revision(n), nil
+	return store.Revision(n), nil
 }
 
-func (r reply) entry(key string) (platform.Entry, error) {
+func (r reply) entry(key string) (store.Entry, error) {
 	rev, err := r.revision()
 	if err != nil {
-		return platform.Entry{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return store.Entry{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	deleted := r.header.Get(deletedHeader) != ""
-	return platform.Entry{Key: key, Value: r.body, Revision: rev, Deleted: deleted}, nil
+	return store.Entry{Key: key, Value: r.body, Revision: rev, Deleted: deleted}, nil
 }
--- a/platform/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -13,12 +13,12 @@
 	"github.com/gravitational/trace"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 var (
-	_ platform.Store    = (*Client)(nil)
-	_ platform.HostList = (*Client)(nil)
+	_ store.Store    = (*Client)(nil)
+	_ store.HostList = (*Client)(nil)
 )
 
 const (
@@ -98,52 +98,52 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	r, err := c.read(ctx, c.keyURL(key))
 	if err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	return r.entry(key)
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	u := c.base.JoinPath("v1", "kv")
 	u.RawQuery = url.Values{"prefix": {prefix}}.Encode()
-	return readJSON[[]platform.Entry](ctx, c, u)
+	return readJSON[[]store.Entry](ctx, c, u)
 }
 
-// Create implements platform.Store.
-func (c *Client) Create(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+// Create implements store.Store.
+func (c *Client) Create(ctx context.Context, key string, value []byte) (store.Revision, error) {
 	rev, err := c.write(ctx, http.MethodPut, key, condition{header: "If-None-Match", value: "*"}, value)
-	if errors.Is(err, platform.ErrConflict) {
-		return 0, platform.ErrExists
+	if errors.Is(err, store.ErrConflict) {
+		return 0, store.ErrExists
 	}
 	return rev, err
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, rev platform.Revision, value []byte) (platform.Revision, error) {
+// CompareAndSwap implements store.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, rev store.Revision, value []byte) (store.Revision, error) {
 	return c.write(ctx, http.MethodPut, key, ifMatch(rev), value)
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, rev platform.Revision) error {
+// Delete implements store.Store.
+func (c *Client) Delete(ctx context.Context, key string, rev store.Revision) error {
 	_, err := c.write(ctx, http.MethodDelete, key, ifMatch(rev), nil)
 	return err
 }
 
-// Watch implements platform.Store by long polls.
-func (c *Client) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
+// Watch implements store.Store by long polls.
+func (c *Client) Watch(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
 	for {
 		e, changed, err := c.poll(ctx, key, after)
 		if ctx.Err() != nil && !changed {
-			return platform.Entry{}, ctx.Err()
+			return store.Entry{}, ctx.Err()
 		}
 		if err != nil || changed {
 			return e, err
@@ -152,14 +152,14 @@
 }
 
 // poll asks once and reports whether the key changed.
-func (c *Client) poll(ctx context.Context, key string, after platform.Revision) (platform.Entry, bool, error) {
+func (c *Client) poll(ctx context.Context, key string, after store.Revision) (store.Entry, bool, error) {
 	wait := c.watchWait
 	if end, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(end)-watchMargin)
 	}
 	if wait <= 0 {
 		<-ctx.Done()
-		return platform.Entry{}, false, ctx.Err()
+		return store.Entry{}, false, ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
@@ -170,10 +170,10 @@
 	}.Encode()
 	r, err := c.read(ctx, u)
 	if err != nil {
-		return platform.Entry{}, false, err
+		return store.Entry{}, false, err
 	}
 	if r.status == http.StatusNotModified {
-		return platform.Entry{}, false, nil
+		return store.Entry{}, false, nil
 	}
 	e, err := r.entry(key)
 	return e, err == nil, err
--- a/platform/httpstore/client_test.go
+++ b/store/httpstore/client_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/httpstore"
 )
 
 // callTimeout is far above what a call on loopback takes.
@@ -39,36 +39,36 @@
 	ctx := t.Context()
 	const key = "bundle/versions/1 %2F?x/../y//z"
 	_, err := c.Get(ctx, key)
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, store.ErrNotFound)
 	rev, err := c.Create(ctx, key, []byte{0, 1, 2})
 	assert.NilError(t, err)
 	_, err = c.Create(ctx, key, nil)
-	assert.ErrorIs(t, err, platform.ErrExists)
+	assert.ErrorIs(t, err, store.ErrExists)
 	e, err := c.Get(ctx, key)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, e, platform.Entry{Key: key, Value: []byte{0, 1, 2}, Revision: rev})
+	assert.DeepEqual(t, e, store.Entry{Key: key, Value: []byte{0, 1, 2}, Revision: rev})
 
 	next, err := c.CompareAndSwap(ctx, key, rev, []byte("new"))
 	assert.NilError(t, err)
 	_, err = c.CompareAndSwap(ctx, key, rev, []byte("newer"))
-	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.ErrorIs(t, err, store.ErrConflict)
 	list, err := c.List(ctx, "bundle/")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, list, []platform.Entry{{Key: key, Value: []byte("new"), Revision: next}})
+	assert.DeepEqual(t, list, []store.Entry{{Key: key, Value: []byte("new"), Revision: next}})
 
-	assert.ErrorIs(t, c.Delete(ctx, key, rev), platform.ErrConflict)
+	assert.ErrorIs(t, c.Delete(ctx, key, rev), store.ErrConflict)
 	assert.NilError(t, c.Delete(ctx, key, next))
-	assert.ErrorIs(t, c.Delete(ctx, key, next), platform.ErrNotFound)
-	_, err = c.Create(ctx, "big", make([]byte, platform.MaxValueBytes+1))
-	assert.ErrorIs(t, err, platform.ErrTooLarge)
-	_, err = c.Create(ctx, "fits", make([]byte, platform.MaxValueBytes))
+	assert.ErrorIs(t, c.Delete(ctx, key, next), store.ErrNotFound)
+	_, err = c.Create(ctx, "big", make([]byte, store.MaxValueBytes+1))
+	assert.ErrorIs(t, err, store.ErrTooLarge)
+	_, err = c.Create(ctx, "fits", make([]byte, store.MaxValueBytes))
 	assert.NilError(t, err)
 }
 
 func TestWatchReturnsTheChange(t *testing.T) {
 	s, c, _ := start(t)
 	type result struct {
-		e   platform.Entry
+		e   store.Entry
 		err error
 	}
 	done := make(chan result)
@@ -102,7 +102,7 @@
 	s, c, _ := start(t)
 	s.SetFaults(standinplatform.Faults{LoseReplies: 1})
 	_, err := c.Create(t.Context(), "a", []byte("1"))
-	assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	assert.ErrorIs(t, err, store.ErrOutcomeUnknown)
 	e, err := c.Get(t.Context(), "a")
 	assert.NilError(t, err)
 	assert.Equal(t, string(e.Value), "1")
@@ -112,12 +112,12 @@
 	s, c, _ := start(t)
 	s.SetFaults(standinplatform.Faults{Down: true})
 	_, err := c.Get(t.Context(), "a")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	_, err = c.Create(t.Context(), "a", nil)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	s.SetFaults(standinplatform.Faults{})
 	_, err = c.Get(t.Context(), "a")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, store.ErrNotFound)
 }
 
 func TestFailedDialIsUnavailable(t *testing.T) {
@@ -127,7 +127,7 @@
 	assert.NilError(t, l.Close())
 	c := newClient(t, url)
 	_, err = c.Create(t.Context(), "a", nil)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 }
 
 // A status that the store itself did not send proves nothing about a write.
@@ -138,9 +138,9 @@
 		}))
 		c := newClient(t, server.URL)
 		_, err := c.Create(t.Context(), "a", nil)
-		assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		assert.ErrorIs(t, err, store.ErrOutcomeUnknown)
 		_, err = c.Get(t.Context(), "a")
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, err, store.ErrUnavailable)
 		server.Close()
 	}
 }
@@ -153,7 +153,7 @@
 	c, err := httpstore.New(server.URL, 200*time.Millisecond)
 	assert.NilError(t, err)
 	_, err = c.CompareAndSwap(t.Context(), "a", 1, nil)
-	assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	assert.ErrorIs(t, err, store.ErrOutcomeUnknown)
 }
 
 func TestHosts(t *testing.T) {
@@ -161,7 +161,7 @@
 	hosts, err := c.Hosts(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, len(hosts), 0)
-	want := []platform.Host{{Name: "engine-1", Addr: "127.0.0.1:9001", Service: "engines", State: platform.HostLeaving}}
+	want := []store.Host{{Name: "engine-1", Addr: "127.0.0.1:9001", Service: "engines", State: store.HostLeaving}}
 	s.SetHosts(want)
 	hosts, err = c.Hosts(t.Context())
 	assert.NilError(t, err)
--- a/platform/httpstore/hosts.go
+++ b/store/httpstore/hosts.go
@@ -8,7 +8,7 @@
 	"slices"
 	"sync"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // hostsCache keeps the last host list with its entity tag, so that a list that
@@ -16,7 +16,7 @@
 type hostsCache struct {
 	mu    sync.Mutex
 	tag   string
-	hosts []platform.Host
+	hosts []store.Host
 }
 
 // condition returns the header that asks for a list only if it has changed.
@@ -30,22 +30,22 @@
 }
 
 // update keeps a new list, or returns the kept one for an unchanged answer.
-func (h *hostsCache) update(r reply) ([]platform.Host, error) {
+func (h *hostsCache) update(r reply) ([]store.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r.status != http.StatusNotModified {
-		var hosts []platform.Host
+		var hosts []store.Host
 		if err := json.Unmarshal(r.body, &hosts); err != nil {
-			return nil, fmt.Errorf("%w: malformed reply: %w", platform.ErrUnavailable, err)
+			return nil, fmt.Errorf("%w: malformed reply: %w", store.ErrUnavailable, err)
 		}
 		h.tag, h.hosts = r.header.Get("ETag"), hosts
 	}
 	return slices.Clone(h.hosts), nil
 }
 
-// Hosts implements platform.HostList. A list whose entity tag has not changed
+// Hosts implements store.HostList. A list whose entity tag has not changed
 // is not transferred again.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (c *Client) Hosts(ctx context.Context) ([]store.Host, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	r, err := c.readIf(ctx, c.base.JoinPath("v1", "hosts"), c.lastHosts.condition())
--- a/platform/httpstore/hosts_test.go
+++ b/store/httpstore/hosts_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/httpstore"
 )
 
 // countingWriter counts the bytes of a body.
@@ -37,8 +37,8 @@
 	c, err := httpstore.New(server.URL, time.Second)
 	assert.NilError(t, err)
 	defer c.Close()
-	list := []platform.Host{{Name: "engine-1", Service: "llm", State: platform.HostLive}}
-	read := func() ([]platform.Host, int) {
+	list := []store.Host{{Name: "engine-1", Service: "llm", State: store.HostLive}}
+	read := func() ([]store.Host, int) {
 		sent = 0
 		got, err := c.Hosts(context.Background())
 		assert.NilError(t, err)
@@ -51,7 +51,7 @@
 	got, again := read()
 	assert.DeepEqual(t, got, list)
 	assert.Equal(t, again, 0)
-	list[0].State = platform.HostLeaving
+	list[0].State = store.HostLeaving
 	standin.SetHosts(list)
 	got, changed := read()
 	assert.DeepEqual(t, got, list)
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,9 +1,9 @@
-// Package platform defines what the system needs from the platform it runs
+// Package store defines what the system needs from the platform it runs
 // on: a small key-value store with compare-and-swap and a list of hosts.
 //
 // Implementations are adapters to one outside system each. Every call is
 // charged against the platform's rate limits, a waiting watch included.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platformtest/faults.go
+++ b/store/storetest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"math/rand/v2"
--- a/platform/platformtest/link.go
+++ b/store/storetest/link.go
@@ -1,15 +1,15 @@
-package platformtest
+package storetest
 
 import (
 	"context"
 	"sync"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 var (
-	_ platform.Store    = (*Link)(nil)
-	_ platform.HostList = (*Link)(nil)
+	_ store.Store    = (*Link)(nil)
+	_ store.HostList = (*Link)(nil)
 )
 
 // Link is one client's way to a Platform, with faults of its own.
@@ -60,7 +60,7 @@
 	state, _ := l.current()
 	switch {
 	case state == LinkDown:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case state == LinkSilent:
 		<-ctx.Done()
 		if op.writes() {
@@ -71,59 +71,59 @@
 	return nil
 }
 
-// Get implements platform.Store.
-func (l *Link) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements store.Store.
+func (l *Link) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := l.pass(ctx, OpGet); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	return l.p.Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (l *Link) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements store.Store.
+func (l *Link) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	if err := l.pass(ctx, OpList); err != nil {
 		return nil, err
 	}
 	return l.p.List(ctx, prefix)
 }
 
-// Create implements platform.Store.
-func (l *Link) Create(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+// Create implements store.Store.
+func (l *Link) Create(ctx context.Context, key string, value []byte) (store.Revision, error) {
 	if err := l.pass(ctx, OpCreate); err != nil {
 		return 0, err
 	}
 	return l.p.Create(ctx, key, value)
 }
 
-// CompareAndSwap implements platform.Store.
-func (l *Link) CompareAndSwap(ctx context.Context, key string, rev platform.Revision, value []byte) (platform.Revision, error) {
+// CompareAndSwap implements store.Store.
+func (l *Link) CompareAndSwap(ctx context.Context, key string, rev store.Revision, value []byte) (store.Revision, error) {
 	if err := l.pass(ctx, OpSwap); err != nil {
 		return 0, err
 	}
 	return l.p.CompareAndSwap(ctx, key, rev, value)
 }
 
-// Delete implements platform.Store.
-func (l *Link) Delete(ctx context.Context, key string, rev platform.Revision) error {
+// Delete implements store.Store.
+func (l *Link) Delete(ctx context.Context, key string, rev store.Revision) error {
 	if err := l.pass(ctx, OpDelete); err != nil {
 		return err
 	}
 	return l.p.Delete(ctx, key, rev)
 }
 
-// Hosts implements platform.HostList.
-func (l *Link) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements store.HostList.
+func (l *Link) Hosts(ctx context.Context) ([]store.Host, error) {
 	if err := l.pass(ctx, OpHosts); err != nil {
 		return nil, err
 	}
 	return l.p.Hosts(ctx)
 }
 
-// Watch implements platform.Store. A link that fails ends the watch, one that
+// Watch implements store.Store. A link that fails ends the watch, one that
 // falls silent leaves it hanging.
-func (l *Link) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
+func (l *Link) Watch(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
 	if err := l.pass(ctx, OpWatch); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	_, change := l.current()
 	inner, cancel := context.WithCancel(ctx)
@@ -142,7 +142,7 @@
 		return e, err
 	}
 	if err := l.pass(ctx, OpWatch); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
-	return platform.Entry{}, platform.ErrUnavailable
+	return store.Entry{}, store.ErrUnavailable
 }
--- a/platform/platformtest/platform.go
+++ b/store/storetest/store.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -10,25 +10,25 @@
 	"sync"
 	"time"
 
-	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 var (
-	_ platform.Store    = (*Platform)(nil)
-	_ platform.HostList = (*Platform)(nil)
+	_ store.Store    = (*Platform)(nil)
+	_ store.HostList = (*Platform)(nil)
 )
 
 // Platform is a store and a host list in memory. It is safe for concurrent
 // use.
 type Platform struct {
 	mu      sync.Mutex
-	entries map[string]platform.Entry
+	entries map[string]store.Entry
 	// changed is closed and replaced at every change.
 	changed  chan struct{}
-	revision platform.Revision
+	revision store.Revision
 	hosts    []hostsAt
 	calls    map[Op]int
-	observe  func(platform.Entry)
+	observe  func(store.Entry)
 
 	faults  faultPlan
 	down    bool
@@ -40,13 +40,13 @@
 // hostsAt is a host list and the time it was set.
 type hostsAt struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []store.Host
 }
 
 // New returns an empty platform without faults.
 func New() *Platform {
 	return &Platform{
-		entries: map[string]platform.Entry{},
+		entries: map[string]store.Entry{},
 		changed: make(chan struct{}),
 		calls:   map[Op]int{},
 		faults:  newFaultPlan(),
@@ -80,10 +80,10 @@
 }
 
 // Snapshot returns all entries by key, without a call being counted.
-func (p *Platform) Snapshot() map[string]platform.Entry {
+func (p *Platform) Snapshot() map[string]store.Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return maps.Collect(func(yield func(string, platform.Entry) bool) {
+	return maps.Collect(func(yield func(string, store.Entry) bool) {
 		for k, e := range p.entries {
 			if !e.Deleted && !yield(k, e) {
 				return
@@ -94,21 +94,21 @@
 
 // Observe calls f for every write when it takes effect, in order of revisions.
 // The function must not call the platform.
-func (p *Platform) Observe(f func(platform.Entry)) {
+func (p *Platform) Observe(f func(store.Entry)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.observe = f
 }
 
 // SetHosts replaces the host list.
-func (p *Platform) SetHosts(hosts []platform.Host) {
+func (p *Platform) SetHosts(hosts []store.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = append(p.hosts, hostsAt{at: time.Now(), hosts: slices.Clone(hosts)})
 }
 
-// Hosts implements platform.HostList.
-func (p *Platform) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements store.HostList.
+func (p *Platform) Hosts(ctx context.Context) ([]store.Host, error) {
 	if err := p.beginRead(ctx, OpHosts); err != nil {
 		return nil, err
 	}
@@ -118,7 +118,7 @@
 }
 
 // laggedHosts returns the list that was current hostLag ago, or the oldest.
-func (p *Platform) laggedHosts() []platform.Host {
+func (p *Platform) laggedHosts() []store.Host {
 	if len(p.hosts) == 0 {
 		return nil
 	}
@@ -132,92 +132,92 @@
 	return p.hosts[found].hosts
 }
 
-// Get implements platform.Store.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements store.Store.
+func (p *Platform) Get(ctx context.Context, key string) (store.Entry, error) {
 	if err := p.beginRead(ctx, OpGet); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.get(key)
 }
 
-func (p *Platform) get(key string) (platform.Entry, error) {
+func (p *Platform) get(key string) (store.Entry, error) {
 	e, ok := p.entries[key]
 	if !ok || e.Deleted {
-		return platform.Entry{}, platform.ErrNotFound
+		return store.Entry{}, store.ErrNotFound
 	}
 	return cloneEntry(e), nil
 }
 
-// List implements platform.Store.
-func (p *Platform) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements store.Store.
+func (p *Platform) List(ctx context.Context, prefix string) ([]store.Entry, error) {
 	if err := p.beginRead(ctx, OpList); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	found := []platform.Entry{}
+	found := []store.Entry{}
 	for k, e := range p.entries {
 		if strings.HasPrefix(k, prefix) && !e.Deleted {
 			found = append(found, cloneEntry(e))
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return found, nil
 }
 
-// Create implements platform.Store.
-func (p *Platform) Create(ctx context.Context, key string, value []byte) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// Create implements store.Store.
+func (p *Platform) Create(ctx context.Context, key string, value []byte) (store.Revision, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	value = slices.Clone(value)
-	return p.write(ctx, OpCreate, func() (platform.Revision, error) {
+	return p.write(ctx, OpCreate, func() (store.Revision, error) {
 		if _, err := p.get(key); err == nil {
-			return 0, platform.ErrExists
+			return 0, store.ErrExists
 		}
-		return p.put(platform.Entry{Key: key, Value: value}), nil
+		return p.put(store.Entry{Key: key, Value: value}), nil
 	})
 }
 
-// CompareAndSwap implements platform.Store.
-func (p *Platform) CompareAndSwap(ctx context.Context, key string, rev platform.Revision, value []byte) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements store.Store.
+func (p *Platform) CompareAndSwap(ctx context.Context, key string, rev store.Revision, value []byte) (store.Revision, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	value = slices.Clone(value)
-	return p.write(ctx, OpSwap, func() (platform.Revision, error) {
+	return p.write(ctx, OpSwap, func() (store.Revision, error) {
 		if err := p.match(key, rev); err != nil {
 			return 0, err
 		}
-		return p.put(platform.Entry{Key: key, Value: value}), nil
+		return p.put(store.Entry{Key: key, Value: value}), nil
 	})
 }
 
-// Delete implements platform.Store.
-func (p *Platform) Delete(ctx context.Context, key string, rev platform.Revision) error {
-	_, err := p.write(ctx, OpDelete, func() (platform.Revision, error) {
+// Delete implements store.Store.
+func (p *Platform) Delete(ctx context.Context, key string, rev store.Revision) error {
+	_, err := p.write(ctx, OpDelete, func() (store.Revision, error) {
 		if err := p.match(key, rev); err != nil {
 			return 0, err
 		}
-		return p.put(platform.Entry{Key: key, Deleted: true}), nil
+		return p.put(store.Entry{Key: key, Deleted: true}), nil
 	})
 	return err
 }
 
-func (p *Platform) match(key string, rev platform.Revision) error {
+func (p *Platform) match(key string, rev store.Revision) error {
 	e, err := p.get(key)
 	if err != nil {
 		return err
 	}
 	if e.Revision != rev {
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
 	return nil
 }
 
-func (p *Platform) put(e platform.Entry) platform.Revision {
+func (p *Platform) put(e store.Entry) store.Revision {
 	p.revision++
 	e.Revision = p.revision
 	p.entries[e.Key] = e
@@ -233,10 +233,10 @@
 	p.changed = make(chan struct{})
 }
 
-// Watch implements platform.Store.
-func (p *Platform) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
+// Watch implements store.Store.
+func (p *Platform) Watch(ctx context.Context, key string, after store.Revision) (store.Entry, error) {
 	if err := p.beginRead(ctx, OpWatch); err != nil {
-		return platform.Entry{}, err
+		return store.Entry{}, err
 	}
 	for {
 		p.mu.Lock()
@@ -244,14 +244,14 @@
 		e, ok := p.entries[key]
 		p.mu.Unlock()
 		if down {
-			return platform.Entry{}, platform.ErrUnavailable
+			return store.Entry{}, store.ErrUnavailable
 		}
 		if ok && e.Revision > after {
 			return cloneEntry(e), nil
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
+			return store.Entry{}, ctx.Err()
 		case <-changed:
 		}
 	}
@@ -274,20 +274,20 @@
 	}
 	fault, latency := p.begin(op)
 	if fault != None {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return sleep(ctx, latency)
 }
 
 // write runs apply, under the lock, with the fault and latency of the call.
-func (p *Platform) write(ctx context.Context, op Op, apply func() (platform.Revision, error)) (platform.Revision, error) {
+func (p *Platform) write(ctx context.Context, op Op, apply func() (store.Revision, error)) (store.Revision, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, errors.Join(platform.ErrUnavailable, err)
+		return 0, errors.Join(store.ErrUnavailable, err)
 	}
 	fault, latency := p.begin(op)
 	switch fault {
 	case Unavailable:
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	case RequestLost:
 		return 0, unknown(sleep(ctx, latency))
 	case Late:
@@ -305,9 +305,9 @@
 }
 
 // writeSlowly applies the write halfway through latency even if ctx ends.
-func (p *Platform) writeSlowly(ctx context.Context, fault Fault, latency time.Duration, apply func() (platform.Revision, error)) (platform.Revision, error) {
+func (p *Platform) writeSlowly(ctx context.Context, fault Fault, latency time.Duration, apply func() (store.Revision, error)) (store.Revision, error) {
 	type result struct {
-		rev platform.Revision
+		rev store.Revision
 		err error
 	}
 	applied := make(chan result, 1)
@@ -325,13 +325,13 @@
 	return r.rev, r.err
 }
 
-func (p *Platform) applyNow(apply func() (platform.Revision, error)) (platform.Revision, error) {
+func (p *Platform) applyNow(apply func() (store.Revision, error)) (store.Revision, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return apply()
 }
 
-func (p *Platform) applyAfter(d time.Duration, apply func() (platform.Revision, error)) {
+func (p *Platform) applyAfter(d time.Duration, apply func() (store.Revision, error)) {
 	time.AfterFunc(d, func() { _, _ = p.applyNow(apply) })
 }
 
@@ -343,12 +343,12 @@
 
 func unknown(cause error) error {
 	if cause == nil {
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	}
-	return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, cause)
+	return fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, cause)
 }
 
-func cloneEntry(e platform.Entry) platform.Entry {
+func cloneEntry(e store.Entry) store.Entry {
 	e.Value = slices.Clone(e.Value)
 	return e
 }
--- a/platform/platformtest/platform_test.go
+++ b/store/storetest/store_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package storetest_test
 
 import (
 	"context"
@@ -6,48 +6,48 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/platformtest"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/storetest"
 	"gotest.tools/v3/assert"
 )
 
 func TestWritesAreConditional(t *testing.T) {
-	ctx, p := t.Context(), platformtest.New()
+	ctx, p := t.Context(), storetest.New()
 	rev, err := p.Create(ctx, "a", []byte("1"))
 	assert.NilError(t, err)
 	_, err = p.Create(ctx, "a", []byte("2"))
-	assert.ErrorIs(t, err, platform.ErrExists)
+	assert.ErrorIs(t, err, store.ErrExists)
 	next, err := p.CompareAndSwap(ctx, "a", rev, []byte("2"))
 	assert.NilError(t, err)
 	assert.Assert(t, next > rev)
 	_, err = p.CompareAndSwap(ctx, "a", rev, []byte("3"))
-	assert.ErrorIs(t, err, platform.ErrConflict)
-	assert.ErrorIs(t, p.Delete(ctx, "a", rev), platform.ErrConflict)
+	assert.ErrorIs(t, err, store.ErrConflict)
+	assert.ErrorIs(t, p.Delete(ctx, "a", rev), store.ErrConflict)
 	assert.NilError(t, p.Delete(ctx, "a", next))
 	_, err = p.Get(ctx, "a")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, store.ErrNotFound)
 	again, err := p.Create(ctx, "a", nil)
 	assert.NilError(t, err)
 	assert.Assert(t, again > next)
-	_, err = p.Create(ctx, "big", make([]byte, platform.MaxValueBytes+1))
-	assert.ErrorIs(t, err, platform.ErrTooLarge)
-	assert.Equal(t, p.Calls(platformtest.OpSwap), 2)
+	_, err = p.Create(ctx, "big", make([]byte, store.MaxValueBytes+1))
+	assert.ErrorIs(t, err, store.ErrTooLarge)
+	assert.Equal(t, p.Calls(storetest.OpSwap), 2)
 }
 
 func TestFaultsOfWrites(t *testing.T) {
 	for _, c := range []struct {
-		fault              platformtest.Fault
+		fault              storetest.Fault
 		err                error
 		atOnce, eventually bool
 	}{
-		{platformtest.Unavailable, platform.ErrUnavailable, false, false},
-		{platformtest.ReplyLost, platform.ErrOutcomeUnknown, true, true},
-		{platformtest.RequestLost, platform.ErrOutcomeUnknown, false, false},
-		{platformtest.Late, platform.ErrOutcomeUnknown, false, true},
+		{storetest.Unavailable, store.ErrUnavailable, false, false},
+		{storetest.ReplyLost, store.ErrOutcomeUnknown, true, true},
+		{storetest.RequestLost, store.ErrOutcomeUnknown, false, false},
+		{storetest.Late, store.ErrOutcomeUnknown, false, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			p := platformtest.New()
-			p.FailNext(platformtest.OpCreate, 1, c.fault)
+			p := storetest.New()
+			p.FailNext(storetest.OpCreate, 1, c.fault)
 			_, err := p.Create(t.Context(), "a", nil)
 			assert.ErrorIs(t, err, c.err)
 			_, err = p.Get(t.Context(), "a")
@@ -61,12 +61,12 @@
 
 func TestSlowWriteTakesEffectAfterItsContextEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := platformtest.New()
+		p := storetest.New()
 		p.SetLatency(time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		_, err := p.Create(ctx, "a", nil)
-		assert.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		assert.ErrorIs(t, err, store.ErrOutcomeUnknown)
 		_, err = p.Get(t.Context(), "a")
 		assert.NilError(t, err)
 	})
@@ -74,13 +74,13 @@
 
 func TestWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := platformtest.New()
+		p := storetest.New()
 		link := p.Link()
 		type result struct {
-			e   platform.Entry
+			e   store.Entry
 			err error
 		}
-		watch := func(after platform.Revision) <-chan result {
+		watch := func(after store.Revision) <-chan result {
 			ch := make(chan result, 1)
 			go func() {
 				e, err := link.Watch(t.Context(), "a", after)
@@ -100,19 +100,19 @@
 
 		ch = watch(p.Snapshot()["a"].Revision + 100)
 		p.SetDown(true)
-		assert.ErrorIs(t, (<-ch).err, platform.ErrUnavailable)
+		assert.ErrorIs(t, (<-ch).err, store.ErrUnavailable)
 		p.SetDown(false)
 
 		ch = watch(100)
-		link.Set(platformtest.LinkDown)
-		assert.ErrorIs(t, (<-ch).err, platform.ErrUnavailable)
+		link.Set(storetest.LinkDown)
+		assert.ErrorIs(t, (<-ch).err, store.ErrUnavailable)
 	})
 }
 
 func TestSilentLinkHangsUntilTheContextEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		link := platformtest.New().Link()
-		link.Set(platformtest.LinkSilent)
+		link := storetest.New().Link()
+		link.Set(storetest.LinkSilent)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := link.Get(ctx, "a")
@@ -122,9 +122,9 @@
 
 func TestHostListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := platformtest.New()
+		p := storetest.New()
 		p.SetHostLag(3 * time.Second)
-		p.SetHosts([]platform.Host{{Name: "a"}})
+		p.SetHosts([]store.Host{{Name: "a"}})
 		time.Sleep(5 * time.Second)
 		p.SetHosts(nil)
 		time.Sleep(2 * time.Second)
@@ -140,8 +140,8 @@
 
 func TestRandomFaultsFollowTheSeed(t *testing.T) {
 	run := func(seed uint64) (failed int) {
-		p := platformtest.New()
-		p.SetRandomFaults(platformtest.RandomFaults{Seed: seed, Unavailable: 0.3})
+		p := storetest.New()
+		p.SetRandomFaults(storetest.RandomFaults{Seed: seed, Unavailable: 0.3})
 		for range 1000 {
 			if _, err := p.List(t.Context(), ""); err != nil {
 				failed++
--- a/test/deploy_test.go
+++ b/test/deploy_test.go
@@ -18,8 +18,8 @@
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
-	"github.com/jacinththread/jacinththread/platform"
-	"github.com/jacinththread/jacinththread/platform/httpstore"
+	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/httpstore"
 	"github.com/jacinththread/jacinththread/settings"
 )
 
@@ -186,14 +186,14 @@
 
 // setHosts publishes the host list.
 func (d *deployment) setHosts() {
-	hosts := []platform.Host{}
+	hosts := []store.Host{}
 	for _, m := range d.daemons {
-		hosts = append(hosts, platform.Host{Name: m.name, Addr: m.relay.addr(), Service: daemonService, Region: region, Domain: m.domain, State: platform.HostLive})
+		hosts = append(hosts, store.Host{Name: m.name, Addr: m.relay.addr(), Service: daemonService, Region: region, Domain: m.domain, State: store.HostLive})
 	}
 	for i, b := range d.backends() {
-		h := platform.Host{Name: b.name, Addr: b.relay.addr(), Service: b.service, Region: region, Domain: domains[i%len(domains)], State: platform.HostLive}
+		h := store.Host{Name: b.name, Addr: b.relay.addr(), Service: b.service, Region: region, Domain: domains[i%len(domains)], State: store.HostLive}
 		if b.leaving {
-			h.State = platform.HostLeaving
+			h.State = store.HostLeaving
 		}
 		hosts = append(hosts, h)
 	}
