--- /dev/null
+++ b/backend/backend.go
@@ -0,0 +1,179 @@
+// Package backend knows the backend servers that may receive requests.
+package backend
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// lapseGrace is how long after the store's return a server without a record
+// counts as live: records lapse while the store is away, and live servers write
+// them again within about two seconds.
+const lapseGrace = 2 * time.Second
+
+// Server is a backend server as its record describes it. It is immutable.
+type Server struct {
+	// ID is unique among running servers.
+	ID      string
+	Service string
+	// Addr is the IP address and port.
+	Addr   string
+	Domain string
+	// Draining servers get no new requests.
+	Draining bool
+	// Slots is the number of requests that run at once.
+	Slots int
+	// ColdUntil is when the server reaches its full speed.
+	ColdUntil time.Time
+	// Started tells apart the lives of servers that reuse an ID. It is the
+	// server's own clock in Unix milliseconds.
+	Started int64
+	// Revision is the store's revision of the record.
+	Revision int64
+}
+
+// Life identifies one life of a server.
+type Life struct {
+	ID      string
+	Started int64
+}
+
+// Life returns the identity of the server's present life.
+func (s *Server) Life() Life { return Life{ID: s.ID, Started: s.Started} }
+
+// Catalog holds the servers. It is safe for concurrent use.
+type Catalog struct {
+	log  *log.Logger
+	snap atomic.Pointer[snapshot]
+
+	mu      sync.Mutex
+	servers map[string]*Server
+	// lapsed holds the servers whose records vanished while the store was away.
+	lapsed map[string]bool
+	away   bool
+	// settled is when lapsed servers count as gone.
+	settled time.Time
+}
+
+type snapshot struct {
+	byService map[string][]*Server
+	byID      map[string]*Server
+}
+
+// NewCatalog returns an empty catalog.
+func NewCatalog(logger *log.Logger) *Catalog {
+	c := &Catalog{log: logger, servers: map[string]*Server{}, lapsed: map[string]bool{}, away: true}
+	c.publish()
+	return c
+}
+
+// Ready returns the servers of a service that may get new requests, sorted by
+// ID. The slice must not be changed.
+func (c *Catalog) Ready(service string) []*Server { return c.snap.Load().byService[service] }
+
+// Usable reports whether a life of a server may still get requests.
+func (c *Catalog) Usable(life Life) bool {
+	s := c.snap.Load().byID[life.ID]
+	return s != nil && s.Started == life.Started && !s.Draining
+}
+
+// Known reports whether the catalog has the life of a server, draining or not.
+func (c *Catalog) Known(life Life) bool {
+	s := c.snap.Load().byID[life.ID]
+	return s != nil && s.Started == life.Started
+}
+
+// Put adds or replaces a server.
+func (c *Catalog) Put(s Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.servers[s.ID]
+	delete(c.lapsed, s.ID)
+	c.servers[s.ID] = &s
+	if old == nil || old.Started != s.Started || old.Draining != s.Draining || old.Addr != s.Addr {
+		c.log.Info("backend server changed", "server", s.ID, "service", s.Service, "addr", s.Addr,
+			"domain", s.Domain, "draining", s.Draining, "started", s.Started, "revision", s.Revision)
+	}
+	c.publish()
+}
+
+// Remove takes a server out whose record is gone. While the store is away and
+// shortly after, the server stays, as its record may only have lapsed.
+func (c *Catalog) Remove(id string, revision int64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	if s == nil {
+		return
+	}
+	if (c.away || now.Before(c.settled)) && !s.Draining {
+		c.lapsed[id] = true
+		c.log.Info("backend server record lapsed, keeping the server for now", "server", id, "revision", revision)
+		return
+	}
+	c.drop(id, revision)
+	c.publish()
+}
+
+// Discard takes out a server whose record names no server to use.
+func (c *Catalog) Discard(id string, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers[id] == nil {
+		return
+	}
+	c.drop(id, revision)
+	c.publish()
+}
+
+func (c *Catalog) drop(id string, revision int64) {
+	delete(c.servers, id)
+	delete(c.lapsed, id)
+	c.log.Info("backend server gone", "server", id, "revision", revision)
+}
+
+// SetStoreAway records whether the store answers.
+func (c *Catalog) SetStoreAway(away bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away == away {
+		return
+	}
+	c.away = away
+	if !away {
+		c.settled = now.Add(lapseGrace)
+	}
+}
+
+// Settle drops the lapsed servers whose time is over. It is called regularly.
+func (c *Catalog) Settle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away || len(c.lapsed) == 0 || now.Before(c.settled) {
+		return
+	}
+	for id := range c.lapsed {
+		c.drop(id, 0)
+	}
+	c.publish()
+}
+
+// publish makes changes visible to readers. The caller holds the lock.
+func (c *Catalog) publish() {
+	snap := &snapshot{byService: map[string][]*Server{}, byID: make(map[string]*Server, len(c.servers))}
+	for id, s := range c.servers {
+		snap.byID[id] = s
+		if !s.Draining {
+			snap.byService[s.Service] = append(snap.byService[s.Service], s)
+		}
+	}
+	for _, list := range snap.byService {
+		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	}
+	c.snap.Store(snap)
+}
--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/policy"
 	"github.com/jacinththread/jacinththread/store"
 	"github.com/jacinththread/jacinththread/store/httpstore"
-	"github.com/jacinththread/jacinththread/policy"
 )
 
 const (
--- /dev/null
+++ b/cmd/jacinththread-entry/main.go
@@ -0,0 +1,75 @@
+// Command jacinththread-entry is the daemon of an entry host on the users'
+// platform.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/entry"
+	"github.com/jacinththread/jacinththread/platform"
+	"github.com/jacinththread/jacinththread/settings"
+	"github.com/jacinththread/jacinththread/telemetry"
+)
+
+// Exit codes of the daemon.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
+)
+
+type options struct {
+	Settings    string `long:"settings" env:"JACINTHTHREAD_NODE_FILE" description:"settings file of the platform"`
+	MetricsPort string `long:"metrics-port" description:"port that serves metrics; none if empty"`
+	LogLevel    string `long:"log-level" default:"info" description:"least level that is logged"`
+}
+
+func main() {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	os.Exit(run(o))
+}
+
+func run(o options) int {
+	s, storeAddr, err := platform.ReadBoot(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.MetricsPort != "" {
+		s.Metrics = net.JoinHostPort(s.IP, o.MetricsPort)
+	}
+	registry := metrics.NewRegistry()
+	out := telemetry.NewAsyncWriter(os.Stdout, registry)
+	defer out.Close()
+	logger, err := telemetry.NewLogger(out, settings.Telemetry{LogLevel: o.LogLevel, LogFormat: "json"}, s.Name)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if err := entry.New(s, adapter(storeAddr, registry), logger, registry).Run(); err != nil {
+		logger.Error("daemon failed", "err", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func adapter(storeAddr string, registry metrics.Registry) entry.Adapter {
+	kv := platform.NewKV(storeAddr, registry)
+	return entry.Adapter{
+		Source: kv, Registry: kv, Decoder: platform.Records{}, Dialect: platform.Dialect{},
+		DirectoryPath: platform.DirectoryPath, ReadyPath: platform.ReadyPath,
+		DirectoryBody: platform.Dialect{}.Directory,
+	}
+}
--- a/ctl/operator_flow_test.go
+++ b/ctl/operator_flow_test.go
@@ -12,8 +12,8 @@
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/operator"
 	"github.com/jacinththread/jacinththread/operator/operatorapi"
-	"github.com/jacinththread/jacinththread/store/storetest"
 	"github.com/jacinththread/jacinththread/scheduler"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // deployment is the state that the real operators' interface shows.
--- /dev/null
+++ b/entry/modules.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/budget"
+	"github.com/jacinththread/jacinththread/forward"
+	"github.com/jacinththread/jacinththread/ingress"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/mirror"
+	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/route"
+	"github.com/jacinththread/jacinththread/telemetry"
+	"github.com/jacinththread/jacinththread/upstream"
+)
+
+// Names of the kernel's services.
+const (
+	peerName       = "peer"
+	membershipName = "membership"
+	exchangeName   = "mirror.exchange"
+	followerName   = "mirror.follower"
+	upkeepName     = "upkeep"
+	readyName      = "ready.http"
+	directoryName  = "directory.http"
+	metricsName    = "metrics.http"
+	callersName    = "callers.http"
+	registerName   = "registration"
+)
+
+const (
+	// probeInterval is the time between two probes of daemons. A daemon that
+	// fell silent is suspected within about two intervals at a handful of
+	// daemons, before callers' directory answers expire.
+	probeInterval = 250 * time.Millisecond
+	probeTimeout  = 120 * time.Millisecond
+	syncInterval  = 2 * time.Second
+	pollInterval  = time.Second
+	// forgetAfter is how long dead daemons are remembered.
+	forgetAfter = time.Minute
+	// heartbeat is how long a peer link may leave bytes unanswered.
+	heartbeat = 400 * time.Millisecond
+	// upkeepInterval is the time between two rounds of upkeep.
+	upkeepInterval = 250 * time.Millisecond
+	// reservedDescriptors are left for files and links between daemons.
+	reservedDescriptors = 700
+	// bodyShare is the part of the memory that callers' bodies may take.
+	bodyShare = 0.2
+)
+
+// peerKey is the shared key of peer links. The platform gives its processes no
+// secret; its network keeps others from the peer port.
+var peerKey = []byte("jacinththread peers of a deployment")
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings *Settings
+	adapter  Adapter
+	log      *log.Logger
+	metrics  metrics.Registry
+
+	copy    *mirror.Copy
+	records *records
+	catalog *backend.Catalog
+	pool    *upstream.Pool
+	tracker *placement.Tracker
+	budget  *budget.Budget
+	members *membership.Service
+	callers *ingress.Server
+	resolve atomic.Pointer[func(string) (string, bool)]
+	leaving atomic.Bool
+}
+
+// New returns a daemon that was not started.
+func New(s *Settings, a Adapter, logger *log.Logger, registry metrics.Registry) *Daemon {
+	d := &Daemon{settings: s, adapter: a, log: logger, metrics: registry}
+	d.catalog = backend.NewCatalog(logger)
+	d.records = &records{decoder: a.Decoder, catalog: d.catalog, inForce: d.configInForce, log: logger}
+	d.copy = mirror.NewCopy(d.records.apply)
+	d.pool = upstream.NewPool(registry)
+	d.tracker = placement.NewTracker(rand.Uint64())
+	d.budget = budget.New(s.Budget, func() int { return len(d.members.Daemons()) })
+	return d
+}
+
+// Modules returns the services of the daemon.
+func (d *Daemon) Modules() []kernel.Module {
+	modules := []kernel.Module{
+		{Name: peerName, New: d.newPeer},
+		{Name: membershipName, Requires: []string{peerName}, New: d.newMembership},
+		{Name: exchangeName, Requires: []string{peerName, membershipName}, New: d.newExchange},
+		{Name: followerName, Requires: []string{membershipName}, New: d.newFollower},
+		{Name: registerName, New: d.newRegistration},
+		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
+		{Name: directoryName, Requires: []string{membershipName}, New: d.newDirectory},
+		{Name: readyName, New: d.newReady},
+		{Name: callersName, Requires: []string{membershipName, followerName}, New: d.newCallers},
+	}
+	if d.settings.Metrics != "" {
+		modules = append(modules, kernel.Module{Name: metricsName, New: d.newMetrics})
+	}
+	return modules
+}
+
+func (d *Daemon) newPeer(kernel.Registry) (kernel.Service, error) {
+	return peer.New(peer.Config{
+		Self: d.settings.Peers, Listen: d.settings.Peers, Keys: [][]byte{peerKey},
+		Resolve: func(name string) (string, bool) {
+			if f := d.resolve.Load(); f != nil {
+				return (*f)(name)
+			}
+			return "", false
+		},
+		Heartbeat: heartbeat, Log: d.log, Metrics: d.metrics,
+	})
+}
+
+func (d *Daemon) newMembership(r kernel.Registry) (kernel.Service, error) {
+	node, err := kernel.Get[*peer.Node](r, peerName)
+	if err != nil {
+		return nil, err
+	}
+	var seeds []membership.Seed
+	for _, addr := range d.settings.Seeds {
+		seeds = append(seeds, membership.Seed{Name: addr, Addr: addr})
+	}
+	d.members, err = membership.New(membership.Config{
+		Self: membership.Daemon{
+			Name: d.settings.Peers, Region: d.settings.Region, Domain: d.settings.Domain,
+			PeerAddr: d.settings.Peers, CallerAddr: d.settings.Callers,
+		},
+		Bus: node, Hosts: daemonHosts{copy: d.copy, self: d.settings.Peers}, DaemonService: daemonService, Seeds: seeds,
+		Log: d.log, Metrics: d.metrics,
+		ProbeInterval: probeInterval, ProbeTimeout: probeTimeout, SyncInterval: syncInterval,
+		ForgetAfter: forgetAfter, PollInterval: pollInterval,
+	})
+	if err != nil {
+		return nil, err
+	}
+	resolve := d.members.Resolve
+	d.resolve.Store(&resolve)
+	return d.members, nil
+}
+
+func (d *Daemon) newExchange(r kernel.Registry) (kernel.Service, error) {
+	node, err := kernel.Get[*peer.Node](r, peerName)
+	if err != nil {
+		return nil, err
+	}
+	return mirror.NewExchange(d.copy, node, d.peers, d.log, d.metrics), nil
+}
+
+// peers returns the live daemons without the local one.
+func (d *Daemon) peers() []string {
+	names := slices.Clone(d.members.Schedulers())
+	return slices.DeleteFunc(names, func(n string) bool { return n == d.settings.Peers })
+}
+
+func (d *Daemon) newFollower(kernel.Registry) (kernel.Service, error) {
+	return mirror.NewFollower(d.copy, d.adapter.Source, d.log, d.metrics), nil
+}
+
+func (d *Daemon) newRegistration(kernel.Registry) (kernel.Service, error) {
+	return newRegistration(d.adapter.Registry, d.settings.Peers, d.log), nil
+}
+
+func (d *Daemon) newDirectory(kernel.Registry) (kernel.Service, error) {
+	ttl := min(entryTTL, d.settings.MaxEntryTTL)
+	return newListener(d.settings.Directory, directoryHandler(&d.adapter, d.members, ttl, d.log), d.log), nil
+}
+
+func (d *Daemon) newReady(kernel.Registry) (kernel.Service, error) {
+	return newListener(d.settings.Ready, readyHandler(&d.adapter, d.ready), d.log), nil
+}
+
+func (d *Daemon) newMetrics(kernel.Registry) (kernel.Service, error) {
+	router := mux.NewRouter()
+	telemetry.Routes(router, d.metrics, d.ready)
+	return newListener(d.settings.Metrics, http.Handler(router), d.log), nil
+}
+
+var (
+	errLeaving  = errors.New("daemon is stopping")
+	errNoConfig = errors.New("no configuration is known")
+)
+
+// ready tells what keeps the daemon from taking callers.
+func (d *Daemon) ready() error {
+	if d.leaving.Load() {
+		return errLeaving
+	}
+	if d.records.Table() == nil {
+		return errNoConfig
+	}
+	return nil
+}
+
+// configInForce tells the others which version the daemon has.
+func (d *Daemon) configInForce(v route.Version) {
+	if d.members != nil {
+		d.members.SetBundleVersion(uint64(v))
+	}
+}
+
+func (d *Daemon) newCallers(kernel.Registry) (kernel.Service, error) {
+	f := forward.New(forward.Config{
+		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget,
+		Dialect: d.adapter.Dialect, Domain: d.settings.Domain, Log: d.log, Metrics: d.metrics,
+	})
+	d.callers = ingress.New(ingress.Config{
+		Addr: d.settings.Callers, Handler: f.Serve, Limits: d.limits,
+		MaxConns:  max(1, (d.settings.Descriptors-reservedDescriptors)/2),
+		MaxBodies: int64(bodyShare * float64(d.settings.MemoryBytes)),
+		Log:       d.log, Metrics: d.metrics,
+	})
+	return d.callers, nil
+}
+
+func (d *Daemon) limits() ingress.Limits {
+	t := d.records.Table()
+	if t == nil {
+		return ingress.Limits{}
+	}
+	l := t.Limits()
+	return ingress.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+// upkeep does what has to be done now and then.
+type upkeep struct {
+	d      *Daemon
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (d *Daemon) newUpkeep(kernel.Registry) (kernel.Service, error) {
+	return &upkeep{d: d, done: make(chan struct{})}, nil
+}
+
+// Start implements kernel.Service.
+func (u *upkeep) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	u.cancel = cancel
+	go u.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (u *upkeep) Stop(context.Context) error {
+	u.cancel()
+	<-u.done
+	return nil
+}
+
+func (u *upkeep) run(ctx context.Context) {
+	defer close(u.done)
+	tick := time.NewTicker(upkeepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			u.round(time.Now())
+		}
+	}
+}
+
+func (u *upkeep) round(now time.Time) {
+	d := u.d
+	d.catalog.SetStoreAway(d.copy.Status().Away, now)
+	d.catalog.Settle(now)
+	d.pool.Sweep(d.catalog.Usable)
+	d.tracker.Forget(d.catalog.Known)
+}
--- /dev/null
+++ b/entry/records.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/route"
+	"github.com/jacinththread/jacinththread/store"
+)
+
+// records puts changed records in force.
+type records struct {
+	decoder Decoder
+	catalog *backend.Catalog
+	table   atomic.Pointer[route.Table]
+	inForce func(route.Version)
+	log     *log.Logger
+}
+
+// Table returns the configuration in force, or nil.
+func (r *records) Table() *route.Table { return r.table.Load() }
+
+// apply takes over changes in the order of their revisions.
+func (r *records) apply(changes []store.Entry) {
+	for _, e := range changes {
+		switch {
+		case e.Key == ConfigKey:
+			r.applyConfig(e)
+		case strings.HasPrefix(e.Key, ServersPrefix):
+			r.applyServer(strings.TrimPrefix(e.Key, ServersPrefix), e)
+		}
+	}
+}
+
+// applyConfig puts a configuration in force unless it is older than the
+// present one or can't be read.
+func (r *records) applyConfig(e store.Entry) {
+	if e.Deleted {
+		r.log.Error("configuration was deleted, keeping the last one", "revision", e.Revision)
+		return
+	}
+	c, err := r.decoder.Config(e)
+	if err != nil {
+		r.log.Error("configuration was not read, keeping the last one", "revision", e.Revision, "err", err)
+		return
+	}
+	old := r.table.Load()
+	if old != nil && c.Version <= old.Version() {
+		r.log.Warn("configuration is not newer, keeping the last one", "version", int64(c.Version), "in_force", int64(old.Version()), "revision", e.Revision)
+		return
+	}
+	table := route.Compile(c)
+	r.table.Store(table)
+	r.inForce(c.Version)
+	routes, keys := table.Size()
+	r.log.Info("configuration in force", "version", int64(c.Version), "revision", e.Revision, "routes", routes, "keys", keys)
+}
+
+func (r *records) applyServer(id string, e store.Entry) {
+	if e.Deleted {
+		r.catalog.Remove(id, int64(e.Revision), time.Now())
+		return
+	}
+	s, err := r.decoder.Server(id, e)
+	if err != nil {
+		r.log.Warn("server record was not read", "server", id, "revision", e.Revision, "err", err)
+		r.catalog.Discard(id, int64(e.Revision))
+		return
+	}
+	r.catalog.Put(s)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -23,10 +23,10 @@
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer/peertest"
-	"github.com/jacinththread/jacinththread/store/storetest"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/scheduler"
 	"github.com/jacinththread/jacinththread/settings"
+	"github.com/jacinththread/jacinththread/store/storetest"
 )
 
 // fakeView is a fixed membership: a gateway "g" and a scheduler "s".
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,177 @@
+// Package mirror keeps a local copy of records in the platform's store.
+//
+// The store's revisions order all changes, so a copy is merged from the store
+// and from other daemons in any order and never goes back to an older record.
+// A daemon that the store refuses is kept up to date by its peers.
+package mirror
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jacinththread/jacinththread/store"
+)
+
+// tombstoneAge is how long deletions are remembered for peers. A peer that is
+// further behind gets all records.
+const tombstoneAge = 2 * time.Minute
+
+// Status tells how current a copy is.
+type Status struct {
+	// At is the revision up to which the copy is complete; zero means that
+	// nothing is known yet.
+	At store.Revision
+	// Away is set while the store does not answer the local daemon.
+	Away bool
+	// Since is when Away last changed.
+	Since time.Time
+}
+
+// Copy holds the records. It is safe for concurrent use.
+type Copy struct {
+	mu      sync.Mutex
+	records map[string]store.Entry
+	deleted map[string]tombstone
+	// horizon is the highest revision of a forgotten deletion.
+	horizon store.Revision
+	at      store.Revision
+	away    bool
+	since   time.Time
+	changed func([]store.Entry)
+}
+
+type tombstone struct {
+	revision store.Revision
+	when     time.Time
+}
+
+// NewCopy returns an empty copy. The callback gets every batch of records that
+// changed, in the order of their merging, and must not call the copy.
+func NewCopy(changed func([]store.Entry)) *Copy {
+	return &Copy{
+		records: map[string]store.Entry{},
+		deleted: map[string]tombstone{},
+		away:    true,
+		changed: changed,
+	}
+}
+
+// Status returns how current the copy is.
+func (c *Copy) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Status{At: c.at, Away: c.away, Since: c.since}
+}
+
+// SetAway records whether the store answers and reports whether that changed.
+func (c *Copy) SetAway(away bool, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away == away && !c.since.IsZero() {
+		return false
+	}
+	c.away, c.since = away, now
+	return true
+}
+
+// Records returns the records whose keys have a prefix, in key order.
+func (c *Copy) Records(prefix string) []store.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []store.Entry
+	for key, e := range c.records {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// Merge takes over changes that make the copy complete up to revision at.
+func (c *Copy) Merge(changes []store.Entry, at store.Revision, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.merge(changes, now)
+	c.at = max(c.at, at)
+	c.forget(now)
+}
+
+// Replace takes over all records of the store as of revision at. Records that
+// it lacks were deleted, unless they are newer.
+func (c *Copy) Replace(all []store.Entry, at store.Revision, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at < c.at {
+		return
+	}
+	listed := make(map[string]bool, len(all))
+	for _, e := range all {
+		listed[e.Key] = true
+	}
+	changes := slices.Clone(all)
+	for key, e := range c.records {
+		if !listed[key] && e.Revision <= at {
+			changes = append(changes, store.Entry{Key: key, Revision: max(e.Revision+1, at), Deleted: true})
+		}
+	}
+	c.merge(changes, now)
+	c.at = at
+	c.forget(now)
+}
+
+// merge applies the changes that are newer than what is known.
+func (c *Copy) merge(changes []store.Entry, now time.Time) {
+	var applied []store.Entry
+	for _, e := range changes {
+		if e.Revision <= max(c.records[e.Key].Revision, c.deleted[e.Key].revision) {
+			continue
+		}
+		if e.Deleted {
+			_, known := c.records[e.Key]
+			delete(c.records, e.Key)
+			c.deleted[e.Key] = tombstone{revision: e.Revision, when: now}
+			if known {
+				applied = append(applied, e)
+			}
+			continue
+		}
+		c.records[e.Key] = e
+		delete(c.deleted, e.Key)
+		applied = append(applied, e)
+	}
+	if len(applied) > 0 {
+		c.changed(applied)
+	}
+}
+
+// forget drops old deletions.
+func (c *Copy) forget(now time.Time) {
+	for key, t := range c.deleted {
+		if now.Sub(t.when) > tombstoneAge {
+			delete(c.deleted, key)
+			c.horizon = max(c.horizon, t.revision)
+		}
+	}
+}
+
+// Since returns what changed after a revision. Complete is set when the answer
+// holds all records instead, as after is too old or zero.
+func (c *Copy) Since(after store.Revision) (changes []store.Entry, at store.Revision, complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	complete = after == 0 || after < c.horizon
+	for _, e := range c.records {
+		if complete || e.Revision > after {
+			changes = append(changes, e)
+		}
+	}
+	for key, t := range c.deleted {
+		if !complete && t.revision > after {
+			changes = append(changes, store.Entry{Key: key, Revision: t.revision, Deleted: true})
+		}
+	}
+	return changes, c.at, complete
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,8 +14,8 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/membership"
-	"github.com/jacinththread/jacinththread/store"
 	"github.com/jacinththread/jacinththread/scheduler"
+	"github.com/jacinththread/jacinththread/store"
 )
 
 const (
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,10 @@
 	KindBundleRequest Kind = 49
 	KindBundleBody    Kind = 50
 
+	KindMirrorPosition Kind = 56
+	KindMirrorRequest  Kind = 57
+	KindMirrorAnswer   Kind = 58
+
 	KindClaim      Kind = 64
 	KindClaimReply Kind = 65
 )
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,159 @@
+// Package placement chooses the backend server for a request.
+//
+// Why: reading a prompt is most of the work of a long request, and much of a
+// prompt is shared with others. A server that holds the shared parts answers
+// sooner and keeps the others free, unless too many requests follow the same
+// part. So servers are compared by the tokens that they would still have to
+// read before the request begins: those of the requests placed there before and
+// those of this prompt that the server does not hold.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinththread/jacinththread/backend"
+)
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Want describes a request to be placed.
+type Want struct {
+	// Prompt lists the parts in order. The last one belongs to the request.
+	Prompt []Part
+	// TokensIn is the number of prompt tokens.
+	TokensIn int
+	// Domain is the failure domain of the local daemon.
+	Domain string
+}
+
+// Candidate is a server with what is known of its load.
+type Candidate struct {
+	Server *backend.Server
+	// Running is the number of requests that the daemon has there.
+	Running int
+	// Reading is the number of prompt tokens of requests without a first event.
+	Reading int
+	// Held is the number of tokens of the prompt that the server has read before.
+	Held int
+	// Slowness is the server's pace relative to its service, 1 for usual.
+	Slowness float64
+	// ErrorShare is the recent share of failed requests.
+	ErrorShare float64
+	// Suspended servers have just failed and are taken only if no other is left.
+	Suspended bool
+}
+
+const (
+	// runningTokens is what a running request delays the start of another, in
+	// tokens to read.
+	runningTokens = 200.0
+	// otherDomainTokens is the cost of bytes between failure domains.
+	otherDomainTokens = 150.0
+	// errorTokens is the cost of a request that fails for sure.
+	errorTokens = 60000.0
+	// coldTokens is the cost of a server that has just started.
+	coldTokens = 2000.0
+	// plainRunning is the cost of a running request of a service without
+	// prompts, in the unit of otherDomainTokens.
+	plainRunning = 400.0
+	// jitterTokens spreads requests over servers that cost the same.
+	jitterTokens = 100.0
+)
+
+// Choose returns the index of the best candidate, or -1 if there is none.
+func Choose(now time.Time, candidates []Candidate, want Want, rnd *rand.Rand) int {
+	best, bestCost := -1, 0.0
+	home := homeOf(candidates, want)
+	usual := usualErrorShare(candidates)
+	for i := range candidates {
+		cost := costOf(now, &candidates[i], want, i == home, usual) + jitterTokens*rnd.Float64()
+		if best < 0 || better(&candidates[i], cost, &candidates[best], bestCost) {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// better compares two candidates; suspended ones come last.
+func better(a *Candidate, aCost float64, b *Candidate, bCost float64) bool {
+	if a.Suspended != b.Suspended {
+		return b.Suspended
+	}
+	return aCost < bCost
+}
+
+// costOf returns how much a server would have to read before it starts the
+// request, and its other drawbacks, in tokens.
+func costOf(now time.Time, c *Candidate, want Want, home bool, usualErrors float64) float64 {
+	cost := 0.0
+	if len(want.Prompt) == 0 {
+		cost = plainRunning * float64(c.Running)
+	} else {
+		held := c.Held
+		if home {
+			held = max(held, sharedTokens(want.Prompt))
+		}
+		cost = float64(c.Reading+max(0, want.TokensIn-held)) + runningTokens*float64(c.Running)
+	}
+	cost *= max(1, c.Slowness)
+	if c.Server.Domain != want.Domain {
+		cost += otherDomainTokens
+	}
+	if now.Before(c.Server.ColdUntil) {
+		cost += coldTokens
+	}
+	return cost + errorTokens*max(0, c.ErrorShare-usualErrors)
+}
+
+// usualErrorShare is the lowest share of failures among the candidates: what
+// all servers fail alike is no reason to avoid one.
+func usualErrorShare(candidates []Candidate) float64 {
+	lowest := 1.0
+	for _, c := range candidates {
+		lowest = min(lowest, c.ErrorShare)
+	}
+	return lowest
+}
+
+// sharedTokens is the size of all parts but the last.
+func sharedTokens(prompt []Part) int {
+	n := 0
+	for _, p := range prompt[:max(0, len(prompt)-1)] {
+		n += p.Tokens
+	}
+	return n
+}
+
+// homeOf returns the server where requests that share the prompt's parts are
+// sent by all daemons, by rendezvous hashing, or -1.
+func homeOf(candidates []Candidate, want Want) int {
+	if len(want.Prompt) < 2 {
+		return -1
+	}
+	key := xxhash.Sum64String(want.Prompt[len(want.Prompt)-2].ID)
+	best, bestScore := -1, uint64(0)
+	for i, c := range candidates {
+		if c.Suspended {
+			continue
+		}
+		score := mix(key ^ xxhash.Sum64String(c.Server.ID))
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/placement/tracker.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jacinththread/jacinththread/backend"
+)
+
+const (
+	// suspendMin and suspendMax bound how long a failed server gets nothing.
+	suspendMin = 200 * time.Millisecond
+	suspendMax = 3 * time.Second
+	// smoothing is the weight of the newest observation.
+	smoothing = 0.15
+	// maxParts bounds the prompt parts remembered for a server.
+	maxParts = 400
+	// partAge is how long a part is taken to be held after its last use.
+	partAge = 20 * time.Second
+)
+
+// Result tells how a request at a server ended.
+type Result uint8
+
+// Results of a request.
+const (
+	// Served requests got a whole answer.
+	Served Result = iota
+	// Failed requests got an error or a broken answer.
+	Failed
+	// Unreachable servers did not take the request.
+	Unreachable
+	// Full servers refused the request.
+	Full
+	// Abandoned requests were ended by the caller or the deadline.
+	Abandoned
+)
+
+// Tracker remembers what the local daemon has sent to each server and how it
+// went. It is safe for concurrent use.
+type Tracker struct {
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	servers map[backend.Life]*state
+}
+
+type state struct {
+	running    int
+	reading    int
+	failures   int
+	suspended  time.Time
+	errorShare float64
+	parts      map[string]time.Time
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker(seed uint64) *Tracker {
+	return &Tracker{rnd: rand.New(rand.NewPCG(seed, 0)), servers: map[backend.Life]*state{}}
+}
+
+// Place chooses among servers and counts the request there. It returns nil if
+// there are none.
+func (t *Tracker) Place(now time.Time, servers []*backend.Server, want Want) *Flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := make([]Candidate, len(servers))
+	for i, s := range servers {
+		candidates[i] = t.candidate(now, s, want)
+	}
+	i := Choose(now, candidates, want, t.rnd)
+	if i < 0 {
+		return nil
+	}
+	return t.begin(now, servers[i], want, candidates[i].Held)
+}
+
+func (t *Tracker) candidate(now time.Time, s *backend.Server, want Want) Candidate {
+	st := t.state(s.Life())
+	return Candidate{
+		Server:     s,
+		Running:    st.running,
+		Reading:    st.reading,
+		Held:       st.held(now, want.Prompt),
+		Slowness:   1,
+		ErrorShare: st.errorShare,
+		Suspended:  now.Before(st.suspended),
+	}
+}
+
+func (t *Tracker) state(life backend.Life) *state {
+	st := t.servers[life]
+	if st == nil {
+		st = &state{parts: map[string]time.Time{}}
+		t.servers[life] = st
+	}
+	return st
+}
+
+// held is the size of the parts at the prompt's beginning that were sent to the
+// server before.
+func (st *state) held(now time.Time, prompt []Part) int {
+	n := 0
+	for _, p := range prompt {
+		if used, ok := st.parts[p.ID]; !ok || now.Sub(used) > partAge {
+			break
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+func (t *Tracker) begin(now time.Time, s *backend.Server, want Want, held int) *Flight {
+	st := t.state(s.Life())
+	f := &Flight{tracker: t, Server: s, reading: max(0, want.TokensIn-held), Held: held}
+	st.running++
+	st.reading += f.reading
+	for _, p := range want.Prompt {
+		st.parts[p.ID] = now
+	}
+	if len(st.parts) > maxParts {
+		st.forgetParts(now)
+	}
+	return f
+}
+
+// forgetParts drops the parts that were not used lately.
+func (st *state) forgetParts(now time.Time) {
+	for age := partAge; len(st.parts) > maxParts/2 && age > time.Second; age /= 2 {
+		for id, used := range st.parts {
+			if now.Sub(used) > age {
+				delete(st.parts, id)
+			}
+		}
+	}
+}
+
+// Forget drops the servers that are not known any more and have no requests.
+func (t *Tracker) Forget(known func(backend.Life) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for life, st := range t.servers {
+		if st.running == 0 && !known(life) {
+			delete(t.servers, life)
+		}
+	}
+}
+
+// Flight is a request at a server.
+type Flight struct {
+	tracker *Tracker
+	Server  *backend.Server
+	// Held is the number of prompt tokens that the server held already.
+	Held    int
+	reading int
+	ended   bool
+}
+
+// Begun records the first event or the answer of the request.
+func (f *Flight) Begun() {
+	f.tracker.mu.Lock()
+	defer f.tracker.mu.Unlock()
+	f.read()
+}
+
+func (f *Flight) read() {
+	f.tracker.state(f.Server.Life()).reading -= f.reading
+	f.reading = 0
+}
+
+// End records how the request ended. Later calls have no effect.
+func (f *Flight) End(now time.Time, r Result) {
+	f.tracker.mu.Lock()
+	defer f.tracker.mu.Unlock()
+	if f.ended {
+		return
+	}
+	f.ended = true
+	f.read()
+	st := f.tracker.state(f.Server.Life())
+	st.running--
+	switch r {
+	case Served:
+		st.failures = 0
+		st.observe(0)
+	case Failed:
+		st.observe(1)
+	case Unreachable:
+		st.suspend(now)
+	case Full:
+		st.suspended = now.Add(suspendMin)
+	case Abandoned:
+	}
+}
+
+func (st *state) observe(failed float64) {
+	st.errorShare += smoothing * (failed - st.errorShare)
+}
+
+func (st *state) suspend(now time.Time) {
+	st.suspended = now.Add(min(suspendMax, suspendMin<<min(st.failures, 6)))
+	st.failures++
+}
--- a/store/store.go
+++ b/store/store.go
@@ -83,3 +83,7 @@
 	// Hosts returns all listed hosts, the entry hosts included.
 	Hosts(ctx context.Context) ([]Host, error)
 }
+
+// Lease identifies a lease. The records that are tied to it are deleted when it
+// ends.
+type Lease int64
--- a/test/deploy_test.go
+++ b/test/deploy_test.go
@@ -18,9 +18,9 @@
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
+	"github.com/jacinththread/jacinththread/settings"
 	"github.com/jacinththread/jacinththread/store"
 	"github.com/jacinththread/jacinththread/store/httpstore"
-	"github.com/jacinththread/jacinththread/settings"
 )
 
 const (
