--- a/entry/modules.go
+++ b/entry/modules.go
@@ -32,6 +32,7 @@
 	peerName       = "peer"
 	membershipName = "membership"
 	exchangeName   = "mirror.exchange"
+	sharingName    = "placement.sharing"
 	followerName   = "mirror.follower"
 	upkeepName     = "upkeep"
 	readyName      = "ready.http"
@@ -102,6 +103,7 @@
 		{Name: peerName, New: d.newPeer},
 		{Name: membershipName, Requires: []string{peerName}, New: d.newMembership},
 		{Name: exchangeName, Requires: []string{peerName, membershipName}, New: d.newExchange},
+		{Name: sharingName, Requires: []string{peerName, membershipName}, New: d.newSharing},
 		{Name: followerName, Requires: []string{membershipName}, New: d.newFollower},
 		{Name: registerName, New: d.newRegistration},
 		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
@@ -163,6 +165,14 @@
 	return mirror.NewExchange(d.copy, node, d.peers, d.log, d.metrics), nil
 }
 
+func (d *Daemon) newSharing(r kernel.Registry) (kernel.Service, error) {
+	node, err := kernel.Get[*peer.Node](r, peerName)
+	if err != nil {
+		return nil, err
+	}
+	return placement.NewSharing(d.tracker, node, d.peers, d.log, d.metrics), nil
+}
+
 // peers returns the live daemons without the local one.
 func (d *Daemon) peers() []string {
 	names := slices.Clone(d.members.Schedulers())
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -25,6 +25,9 @@
 	anyIdle = time.Hour
 	// minWait is the least time worth starting a request with.
 	minWait = 5 * time.Millisecond
+	// tightGap is the longest pause objective that the reading of other prompts
+	// at a server can break.
+	tightGap = 350 * time.Millisecond
 	// maxUrgency is the least urgent level that servers know.
 	maxUrgency = 9
 	// silenceTargets is how many times its objective a repeatable request waits
@@ -89,6 +92,7 @@
 	}
 	return q.cfg.Tracker.Place(time.Now(), left, placement.Want{
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, Domain: q.cfg.Domain,
+		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= tightGap,
 	})
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,16 +19,24 @@
 
 // Part is a part of a prompt.
 type Part struct {
-	ID     string
+	// Hash identifies the part.
+	Hash   uint64
 	Tokens int
 }
 
+// NewPart returns a part with an ID.
+func NewPart(id string, tokens int) Part {
+	return Part{Hash: xxhash.Sum64String(id), Tokens: tokens}
+}
+
 // Want describes a request to be placed.
 type Want struct {
 	// Prompt lists the parts in order. The last one belongs to the request.
 	Prompt []Part
 	// TokensIn is the number of prompt tokens.
 	TokensIn int
+	// Tight is set if events must come in quick succession.
+	Tight bool
 	// Domain is the failure domain of the local daemon.
 	Domain string
 }
@@ -36,10 +44,12 @@
 // Candidate is a server with what is known of its load.
 type Candidate struct {
 	Server *backend.Server
-	// Running is the number of requests that the daemon has there.
-	Running int
+	// Running is the number of requests that all daemons have there.
+	Running float64
+	// Tight counts those of them whose events must come in quick succession.
+	Tight float64
 	// Reading is the number of prompt tokens of requests without a first event.
-	Reading int
+	Reading float64
 	// Held is the number of tokens of the prompt that the server has read before.
 	Held int
 	// Slowness is the server's pace relative to its service, 1 for usual.
@@ -54,6 +64,12 @@
 	// runningTokens is what a running request delays the start of another, in
 	// tokens to read.
 	runningTokens = 200.0
+	// homeDiscount makes daemons that do not know yet who holds a part agree on
+	// where to send it.
+	homeDiscount = 0.7
+	// tightShare is what a token to read costs each running request whose events
+	// must come in quick succession.
+	tightShare = 0.03
 	// otherDomainTokens is the cost of bytes between failure domains.
 	otherDomainTokens = 150.0
 	// errorTokens is the cost of a request that fails for sure.
@@ -94,13 +110,13 @@
 func costOf(now time.Time, c *Candidate, want Want, home bool, usualErrors float64) float64 {
 	cost := 0.0
 	if len(want.Prompt) == 0 {
-		cost = plainRunning * float64(c.Running)
+		cost = plainRunning * c.Running
 	} else {
-		held := c.Held
+		miss := float64(max(0, want.TokensIn-c.Held))
 		if home {
-			held = max(held, sharedTokens(want.Prompt))
+			miss *= homeDiscount
 		}
-		cost = float64(c.Reading+max(0, want.TokensIn-held)) + runningTokens*float64(c.Running)
+		cost = c.Reading + miss + runningTokens*c.Running + tightShare*c.Tight*miss
 	}
 	cost *= max(1, c.Slowness)
 	if c.Server.Domain != want.Domain {
@@ -122,22 +138,13 @@
 	return lowest
 }
 
-// sharedTokens is the size of all parts but the last.
-func sharedTokens(prompt []Part) int {
-	n := 0
-	for _, p := range prompt[:max(0, len(prompt)-1)] {
-		n += p.Tokens
-	}
-	return n
-}
-
 // homeOf returns the server where requests that share the prompt's parts are
 // sent by all daemons, by rendezvous hashing, or -1.
 func homeOf(candidates []Candidate, want Want) int {
 	if len(want.Prompt) < 2 {
 		return -1
 	}
-	key := xxhash.Sum64String(want.Prompt[len(want.Prompt)-2].ID)
+	key := want.Prompt[len(want.Prompt)-2].Hash
 	best, bestScore := -1, uint64(0)
 	for i, c := range candidates {
 		if c.Suspended {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -15,9 +15,9 @@
 	// smoothing is the weight of the newest observation.
 	smoothing = 0.15
 	// maxParts bounds the prompt parts remembered for a server.
-	maxParts = 400
+	maxParts = 1000
 	// partAge is how long a part is taken to be held after its last use.
-	partAge = 20 * time.Second
+	partAge = 30 * time.Second
 )
 
 // Result tells how a request at a server ended.
@@ -43,20 +43,32 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	servers map[backend.Life]*state
+	// told holds the last message of each daemon, remote their sums.
+	told   map[string]told
+	remote map[backend.Life]remote
 }
 
 type state struct {
 	running    int
+	tight      int
 	reading    int
 	failures   int
 	suspended  time.Time
 	errorShare float64
-	parts      map[string]time.Time
+	// parts holds when each prompt part was last sent to the server, by any
+	// daemon; fresh holds those of the local daemon that others were not told.
+	parts map[uint64]time.Time
+	fresh []uint64
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker(seed uint64) *Tracker {
-	return &Tracker{rnd: rand.New(rand.NewPCG(seed, 0)), servers: map[backend.Life]*state{}}
+	return &Tracker{
+		rnd:     rand.New(rand.NewPCG(seed, 0)),
+		servers: map[backend.Life]*state{},
+		told:    map[string]told{},
+		remote:  map[backend.Life]remote{},
+	}
 }
 
 // Place chooses among servers and counts the request there. It returns nil if
@@ -77,10 +89,12 @@
 
 func (t *Tracker) candidate(now time.Time, s *backend.Server, want Want) Candidate {
 	st := t.state(s.Life())
+	others := t.remote[s.Life()]
 	return Candidate{
 		Server:     s,
-		Running:    st.running,
-		Reading:    st.reading,
+		Running:    float64(st.running) + others.running,
+		Tight:      float64(st.tight) + others.tight,
+		Reading:    float64(st.reading) + others.reading,
 		Held:       st.held(now, want.Prompt),
 		Slowness:   1,
 		ErrorShare: st.errorShare,
@@ -91,7 +105,7 @@
 func (t *Tracker) state(life backend.Life) *state {
 	st := t.servers[life]
 	if st == nil {
-		st = &state{parts: map[string]time.Time{}}
+		st = &state{parts: map[uint64]time.Time{}}
 		t.servers[life] = st
 	}
 	return st
@@ -102,7 +116,7 @@
 func (st *state) held(now time.Time, prompt []Part) int {
 	n := 0
 	for _, p := range prompt {
-		if used, ok := st.parts[p.ID]; !ok || now.Sub(used) > partAge {
+		if used, ok := st.parts[p.Hash]; !ok || now.Sub(used) > partAge {
 			break
 		}
 		n += p.Tokens
@@ -112,16 +126,29 @@
 
 func (t *Tracker) begin(now time.Time, s *backend.Server, want Want, held int) *Flight {
 	st := t.state(s.Life())
-	f := &Flight{tracker: t, Server: s, reading: max(0, want.TokensIn-held), Held: held}
+	f := &Flight{tracker: t, Server: s, reading: max(0, want.TokensIn-held), Held: held, tight: want.Tight}
 	st.running++
+	if f.tight {
+		st.tight++
+	}
 	st.reading += f.reading
-	for _, p := range want.Prompt {
-		st.parts[p.ID] = now
+	for i, p := range want.Prompt {
+		st.note([]uint64{p.Hash}, now)
+		if i < len(want.Prompt)-1 {
+			st.fresh = append(st.fresh, p.Hash)
+		}
+	}
+	return f
+}
+
+// note records that parts were sent to the server.
+func (st *state) note(parts []uint64, now time.Time) {
+	for _, p := range parts {
+		st.parts[p] = now
 	}
 	if len(st.parts) > maxParts {
 		st.forgetParts(now)
 	}
-	return f
 }
 
 // forgetParts drops the parts that were not used lately.
@@ -153,6 +180,7 @@
 	// Held is the number of prompt tokens that the server held already.
 	Held    int
 	reading int
+	tight   bool
 	ended   bool
 }
 
@@ -179,6 +207,9 @@
 	f.read()
 	st := f.tracker.state(f.Server.Life())
 	st.running--
+	if f.tight {
+		st.tight--
+	}
 	switch r {
 	case Served:
 		st.failures = 0
