Weigh tokens to read above tokens that wait

Cause: reading a shared part again takes time from every request of the service, and the choice weighed it like the wait of one request. Ruled out: the same weight for both (the state before). Change: placement.missWeight is 3.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -64,6 +64,9 @@
 	// runningTokens is what a running request delays the start of another, in
 	// tokens to read.
 	runningTokens = 200.0
+	// missWeight is what a token to read costs beside one that waits before it:
+	// reading a part again takes time from all requests of the service.
+	missWeight = 3.0
 	// homeDiscount makes daemons that do not know yet who holds a part agree on
 	// where to send it.
 	homeDiscount = 0.7
@@ -116,7 +119,7 @@
 		if home {
 			miss *= homeDiscount
 		}
-		cost = c.Reading + miss + runningTokens*c.Running + tightShare*c.Tight*miss
+		cost = c.Reading + missWeight*miss + runningTokens*c.Running + tightShare*c.Tight*miss
 	}
 	cost *= max(1, c.Slowness)
 	if c.Server.Domain != want.Domain {
