--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,7 +66,7 @@
 	runningTokens = 200.0
 	// missWeight is what a token to read costs beside one that waits before it:
 	// reading a part again takes time from all requests of the service.
-	missWeight = 3.0
+	missWeight = 6.0
 	// homeDiscount makes daemons that do not know yet who holds a part agree on
 	// where to send it.
 	homeDiscount = 0.7
