--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -25,9 +25,6 @@
 	anyIdle = time.Hour
 	// minWait is the least time worth starting a request with.
 	minWait = 5 * time.Millisecond
-	// tightGap is the longest pause objective that the reading of other prompts
-	// at a server can break.
-	tightGap = 350 * time.Millisecond
 	// maxUrgency is the least urgent level that servers know.
 	maxUrgency = 9
 	// silenceTargets is how many times its objective a repeatable request waits
@@ -76,6 +73,7 @@
 		return try{}, false
 	}
 	q.last = flight.Server
+	q.backlog, q.missing = flight.Backlog, flight.Missing
 	q.tried[flight.Server.Life()] = true
 	return q.send(ctx, flight), true
 }
@@ -91,8 +89,8 @@
 		}
 	}
 	return q.cfg.Tracker.Place(time.Now(), left, placement.Want{
-		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, Domain: q.cfg.Domain,
-		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= tightGap,
+		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
+		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.TightestGap(q.service),
 	})
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -150,6 +150,14 @@
 	status  int
 	reason  string
 	stream  *events
+	// first is when the first byte of an answer's body was passed on.
+	first time.Time
+	// latest is when the last event was passed on, and longestGap the longest
+	// pause between two events.
+	latest     time.Time
+	longestGap time.Duration
+	// backlog is what the chosen server had to read before, in tokens.
+	backlog, missing int
 }
 
 // admit finds the route, the customer and the deadline, or answers.
@@ -225,7 +233,26 @@
 	q.cfg.Log.Info("request done", "request_id", q.meta.ID, "route", name, "customer", q.customer,
 		"service", q.service, "outcome", q.outcome, "status", q.status, "reason", q.reason,
 		"server", server, "sends", q.sends, "attempts", q.attempts, "took_ms", took.Milliseconds(),
-		"config", int64(version))
+		"first_ms", q.firstAfter().Milliseconds(), "gap_ms", q.longestGap.Milliseconds(),
+		"backlog_tokens", q.backlog, "missing_tokens", q.missing, "config", int64(version))
+}
+
+// firstAfter is the time to the first byte of the answer's body, or zero.
+func (q *request) firstAfter() time.Duration {
+	if q.first.IsZero() {
+		return 0
+	}
+	return q.first.Sub(q.in.Arrived)
+}
+
+// notePassed records that a part of the answer was passed on.
+func (q *request) notePassed(now time.Time) {
+	if q.first.IsZero() {
+		q.first = now
+	} else {
+		q.longestGap = max(q.longestGap, now.Sub(q.latest))
+	}
+	q.latest = now
 }
 
 func (q *request) outcomeCounter() metrics.Counter { return q.Forwarder.outcome[q.outcome] }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -140,6 +140,7 @@
 		return
 	}
 	q.outcome, q.status = answered, a.Status
+	q.notePassed(time.Now())
 	h := withoutHopByHop(a.Header)
 	framing, length := ingress.Sized, int64(len(body))
 	if q.in.Method == http.MethodHead {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -156,6 +156,7 @@
 		return fmt.Errorf("%w: %w", errCaller, err)
 	}
 	q.stream.taken(len(whole))
+	q.notePassed(time.Now())
 	return nil
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,8 +33,8 @@
 type Want struct {
 	// Prompt lists the parts in order. The last one belongs to the request.
 	Prompt []Part
-	// TokensIn is the number of prompt tokens.
-	TokensIn int
+	// TokensIn is the number of prompt tokens, TokensOut the most generated.
+	TokensIn, TokensOut int
 	// Tight is set if events must come in quick succession.
 	Tight bool
 	// Domain is the failure domain of the local daemon.
@@ -56,6 +56,9 @@
 	Slowness float64
 	// ErrorShare is the recent share of failed requests.
 	ErrorShare float64
+	// Calm servers are kept for requests whose events must come in quick
+	// succession.
+	Calm bool
 	// Suspended servers have just failed and are taken only if no other is left.
 	Suspended bool
 }
@@ -67,6 +70,11 @@
 	// missWeight is what a token to read costs beside one that waits before it:
 	// reading a part again takes time from all requests of the service.
 	missWeight = 6.0
+	// restlessTokens is the cost of a server that is not calm for requests that
+	// need one.
+	restlessTokens = 4000.0
+	// disturbWeight is what a token to read costs a calm server besides.
+	disturbWeight = 4.0
 	// homeDiscount makes daemons that do not know yet who holds a part agree on
 	// where to send it.
 	homeDiscount = 0.7
@@ -120,6 +128,9 @@
 			miss *= homeDiscount
 		}
 		cost = c.Reading + missWeight*miss + runningTokens*c.Running + tightShare*c.Tight*miss
+		if c.Calm != want.Tight {
+			cost += misplacedTokens(want, miss)
+		}
 	}
 	cost *= max(1, c.Slowness)
 	if c.Server.Domain != want.Domain {
@@ -131,6 +142,15 @@
 	return cost + errorTokens*max(0, c.ErrorShare-usualErrors)
 }
 
+// misplacedTokens is the cost of a request that needs a calm server elsewhere,
+// or of another request at a calm server.
+func misplacedTokens(want Want, miss float64) float64 {
+	if want.Tight {
+		return restlessTokens
+	}
+	return disturbWeight * miss
+}
+
 // usualErrorShare is the lowest share of failures among the candidates: what
 // all servers fail alike is no reason to avoid one.
 func usualErrorShare(candidates []Candidate) float64 {
@@ -150,7 +170,7 @@
 	key := want.Prompt[len(want.Prompt)-2].Hash
 	best, bestScore := -1, uint64(0)
 	for i, c := range candidates {
-		if c.Suspended {
+		if c.Suspended || c.Calm && !want.Tight {
 			continue
 		}
 		score := mix(key ^ xxhash.Sum64String(c.Server.ID))
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -45,6 +45,7 @@
 	servers map[backend.Life]*state
 	// told holds the last message of each daemon, remote their sums.
 	told   map[string]told
+	demand demand
 	remote map[backend.Life]remote
 }
 
@@ -80,11 +81,15 @@
 	for i, s := range servers {
 		candidates[i] = t.candidate(now, s, want)
 	}
+	if len(want.Prompt) > 0 {
+		t.demand.fade(now)
+		markCalm(candidates, t.demand.calmCount(len(candidates)))
+	}
 	i := Choose(now, candidates, want, t.rnd)
 	if i < 0 {
 		return nil
 	}
-	return t.begin(now, servers[i], want, candidates[i].Held)
+	return t.begin(now, servers[i], want, &candidates[i])
 }
 
 func (t *Tracker) candidate(now time.Time, s *backend.Server, want Want) Candidate {
@@ -124,9 +129,11 @@
 	return n
 }
 
-func (t *Tracker) begin(now time.Time, s *backend.Server, want Want, held int) *Flight {
+func (t *Tracker) begin(now time.Time, s *backend.Server, want Want, c *Candidate) *Flight {
 	st := t.state(s.Life())
-	f := &Flight{tracker: t, Server: s, reading: max(0, want.TokensIn-held), Held: held, tight: want.Tight}
+	missing := max(0, want.TokensIn-c.Held)
+	t.demand.add(now, want.Tight, float64(missing)+outputWeight*float64(want.TokensOut))
+	f := &Flight{tracker: t, Server: s, reading: missing, Missing: missing, Backlog: int(c.Reading), tight: want.Tight}
 	st.running++
 	if f.tight {
 		st.tight++
@@ -177,8 +184,10 @@
 type Flight struct {
 	tracker *Tracker
 	Server  *backend.Server
-	// Held is the number of prompt tokens that the server held already.
-	Held    int
+	// Missing is the number of prompt tokens that the server did not hold.
+	Missing int
+	// Backlog is the number of tokens that the server had to read before.
+	Backlog int
 	reading int
 	tight   bool
 	ended   bool
--- a/route/table.go
+++ b/route/table.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table finds routes, services and customers of one configuration.
@@ -13,7 +14,9 @@
 	byHost    map[string][]*Route
 	services  map[string]*Service
 	customers map[string]*Customer
-	keyed     bool
+	// tightest holds the shortest pause objective of each service's streams.
+	tightest map[string]time.Duration
+	keyed    bool
 }
 
 // Compile builds the table of a configuration. It keeps no reference to c's
@@ -25,11 +28,13 @@
 		byHost:    map[string][]*Route{},
 		services:  make(map[string]*Service, len(c.Services)),
 		customers: map[string]*Customer{},
+		tightest:  map[string]time.Duration{},
 		keyed:     len(c.Customers) > 0,
 	}
 	for _, r := range c.Routes {
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &r)
+		t.noteGap(&r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -45,6 +50,22 @@
 	return t
 }
 
+// noteGap takes over the pause objective of a route for its services.
+func (t *Table) noteGap(r *Route) {
+	if r.GapTarget <= 0 {
+		return
+	}
+	for _, s := range r.Shares {
+		if known, ok := t.tightest[s.Service]; !ok || r.GapTarget < known {
+			t.tightest[s.Service] = r.GapTarget
+		}
+	}
+}
+
+// TightestGap returns the shortest pause objective among the streams of a
+// service, or zero.
+func (t *Table) TightestGap(service string) time.Duration { return t.tightest[service] }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.version }
 
