Avoid servers that have gone silent and read changed settings

Cause: a server that goes dark answers neither way, and each daemon kept sending to it until the connection timed out; a caller who left after a long silence said nothing of the server. The budget of a daemon that sees no other took the whole allowance. Settings changed in a running system had no effect. Ruled out: a fixed bound on silence, which would avoid servers that read long prompts. Change: placement avoids a server that sent nothing for longer than what it has to read explains; budget counts registered daemons; entry reads the settings every two seconds and at SIGHUP.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -14,6 +14,10 @@
 // buckets is the number of parts that a window is counted in.
 const buckets = 20
 
+// memory is how long daemons count that are no longer seen: one that is cut off
+// from the others still takes its part.
+const memory = time.Minute
+
 // safety is the part of the limit that is used, as windows of daemons do not
 // begin at the same time.
 const safety = 0.8
@@ -48,6 +52,14 @@
 	return &Budget{limit: limit, daemons: daemons, start: time.Now(), services: map[string]*window{}}
 }
 
+// SetLimit replaces the limit if its window stays the same.
+func (b *Budget) SetLimit(limit Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit.Window = b.limit.Window
+	b.limit = limit
+}
+
 // Request counts a request.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
@@ -69,11 +81,10 @@
 	return true
 }
 
-// mostDaemons is the highest number of live daemons within the last window, as
-// those that have just gone have used their part.
+// mostDaemons is the highest number of daemons seen lately.
 func (b *Budget) mostDaemons(now time.Time) int {
 	n := max(1, b.daemons())
-	if n >= b.most || now.Sub(b.mostSeen) > b.limit.Window {
+	if n >= b.most || now.Sub(b.mostSeen) > memory {
 		b.most, b.mostSeen = n, now
 	}
 	return b.most
--- a/cmd/jacinththread-entry/main.go
+++ b/cmd/jacinththread-entry/main.go
@@ -58,17 +58,26 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if err := entry.New(s, adapter(storeAddr, registry), logger, registry).Run(); err != nil {
+	if err := entry.New(s, adapter(o.Settings, storeAddr, registry), logger, registry).Run(); err != nil {
 		logger.Error("daemon failed", "err", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func adapter(storeAddr string, registry metrics.Registry) entry.Adapter {
+// adapter connects the daemon to the platform.
+func adapter(path, storeAddr string, registry metrics.Registry) entry.Adapter {
 	kv := platform.NewKV(storeAddr, registry)
+	reload := func() (*entry.Settings, error) {
+		s, addr, err := platform.ReadBoot(path)
+		if err != nil {
+			return nil, err
+		}
+		kv.SetAddr(addr)
+		return s, nil
+	}
 	return entry.Adapter{
-		Source: kv, Registry: kv, Decoder: platform.Records{}, Dialect: platform.Dialect{},
+		Source: kv, Registry: kv, Decoder: platform.Records{}, Dialect: platform.Dialect{}, Reload: reload,
 		DirectoryPath: platform.DirectoryPath, ReadyPath: platform.ReadyPath,
 		DirectoryBody: platform.Dialect{}.Directory,
 	}
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -56,6 +56,9 @@
 	heartbeat = 400 * time.Millisecond
 	// upkeepInterval is the time between two rounds of upkeep.
 	upkeepInterval = 250 * time.Millisecond
+	// reloadInterval is the time between two looks at the settings file, which
+	// may change without a signal.
+	reloadInterval = 2 * time.Second
 	// reservedDescriptors are left for files and links between daemons.
 	reservedDescriptors = 700
 	// bodyShare is the part of the memory that callers' bodies may take.
@@ -69,9 +72,11 @@
 // Daemon is one entry daemon.
 type Daemon struct {
 	settings *Settings
-	adapter  Adapter
-	log      *log.Logger
-	metrics  metrics.Registry
+	// current holds the settings as last read; settings those at the start.
+	current atomic.Pointer[Settings]
+	adapter Adapter
+	log     *log.Logger
+	metrics metrics.Registry
 
 	copy    *mirror.Copy
 	records *records
@@ -88,15 +93,22 @@
 // New returns a daemon that was not started.
 func New(s *Settings, a Adapter, logger *log.Logger, registry metrics.Registry) *Daemon {
 	d := &Daemon{settings: s, adapter: a, log: logger, metrics: registry}
+	d.current.Store(s)
 	d.catalog = backend.NewCatalog(logger)
 	d.records = &records{decoder: a.Decoder, catalog: d.catalog, inForce: d.configInForce, log: logger}
 	d.copy = mirror.NewCopy(d.records.apply)
 	d.pool = upstream.NewPool(registry)
 	d.tracker = placement.NewTracker(rand.Uint64())
-	d.budget = budget.New(s.Budget, func() int { return len(d.members.Daemons()) })
+	d.budget = budget.New(s.Budget, d.daemonCount)
 	return d
 }
 
+// daemonCount is the number of daemons that may be taking part: a daemon that
+// sees nobody is more likely cut off than alone.
+func (d *Daemon) daemonCount() int {
+	return max(len(d.members.Daemons()), len(d.copy.Records(DaemonsPrefix)), len(d.settings.Seeds))
+}
+
 // Modules returns the services of the daemon.
 func (d *Daemon) Modules() []kernel.Module {
 	modules := []kernel.Module{
@@ -253,6 +265,8 @@
 	d      *Daemon
 	cancel context.CancelFunc
 	done   chan struct{}
+	// reload is when the settings are read again.
+	reload time.Time
 }
 
 func (d *Daemon) newUpkeep(kernel.Registry) (kernel.Service, error) {
@@ -294,4 +308,8 @@
 	d.catalog.Settle(now)
 	d.pool.Sweep(d.catalog.Usable)
 	d.tracker.Forget(d.catalog.Known)
+	if !now.Before(u.reload) {
+		u.reload = now.Add(reloadInterval)
+		d.reload(false)
+	}
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -58,10 +58,10 @@
 func (d *Daemon) awaitStop(signals <-chan os.Signal) {
 	for s := range signals {
 		if s == syscall.SIGHUP {
-			d.log.Info("settings signalled as changed, nothing that is read from them changes in a running daemon")
+			d.reload(true)
 			continue
 		}
-		d.log.Info("stop requested", "signal", s.String(), "grace", d.settings.Grace)
+		d.log.Info("stop requested", "signal", s.String(), "grace", d.current.Load().Grace)
 		return
 	}
 }
@@ -72,9 +72,9 @@
 	d.leaving.Store(true)
 	d.members.Leave()
 	d.callers.CloseAfterAnswers()
-	time.Sleep(min(lingerTime, d.settings.Grace/3))
+	time.Sleep(min(lingerTime, d.current.Load().Grace/3))
 	d.callers.StopAccepting()
-	for d.callers.Busy() > 0 && time.Since(begun) < d.settings.Grace-stopReserve {
+	for d.callers.Busy() > 0 && time.Since(begun) < d.current.Load().Grace-stopReserve {
 		time.Sleep(stopPoll)
 	}
 	d.log.Info("requests drained", "left", d.callers.Busy(), "took_ms", time.Since(begun).Milliseconds())
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -74,7 +74,9 @@
 	Source   mirror.Source
 	Registry Registry
 	Decoder  Decoder
-	Dialect  forward.Dialect
+	// Reload reads the settings again.
+	Reload  func() (*Settings, error)
+	Dialect forward.Dialect
 	// DirectoryPath and ReadyPath are where callers and the platform ask.
 	DirectoryPath string
 	ReadyPath     string
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -110,6 +110,7 @@
 		return q.failed(ctx, flight, fmt.Errorf("%w: server is leaving or no time is left", upstream.ErrNotSent))
 	}
 	q.sends++
+	q.sent = time.Now()
 	answer, err := q.cfg.Pool.Do(ctx, conn, q.outgoing(flight.Server, wait), q.silence())
 	if err != nil {
 		return q.failed(ctx, flight, err)
@@ -148,16 +149,20 @@
 	if t.fate == mayRun {
 		q.attempts++
 	}
-	flight.End(time.Now(), resultOf(ctx, err))
+	flight.End(time.Now(), q.resultOf(ctx, err))
 	q.cfg.Log.Info("attempt failed", "request_id", q.meta.ID, "server", flight.Server.ID,
 		"revision", flight.Server.Revision, "sent", t.fate == mayRun, "left_ms", time.Until(q.deadline).Milliseconds(), "err", err)
 	return t
 }
 
-// resultOf tells what an error says of the server.
-func resultOf(ctx context.Context, err error) placement.Result {
+// resultOf tells what an error says of the server. A caller who leaves after a
+// long silence speaks against the server like an error.
+func (q *request) resultOf(ctx context.Context, err error) placement.Result {
+	leftByCaller := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
 	switch {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+	case leftByCaller && time.Since(q.sent) > max(minSilence, silenceTargets*q.route.Target):
+		return placement.Failed
+	case leftByCaller:
 		return placement.Abandoned
 	case isTimeout(err), errors.Is(err, upstream.ErrNotSent):
 		return placement.Unreachable
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -150,6 +150,8 @@
 	status  int
 	reason  string
 	stream  *events
+	// sent is when the request was last handed to a server.
+	sent time.Time
 	// first is when the first byte of an answer's body was passed on.
 	first time.Time
 	// latest is when the last event was passed on, and longestGap the longest
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -89,7 +89,7 @@
 // relayPlain passes on an answer that is not a stream.
 func (q *request) relayPlain(ctx context.Context, t try) (again bool) {
 	a := t.answer
-	t.flight.Begun()
+	t.flight.Heard(time.Now())
 	if a.Framing == upstream.Sized && a.Length > holdBytes {
 		return q.relayLong(ctx, t)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -144,7 +144,7 @@
 	if err != nil || len(whole) == 0 {
 		return err
 	}
-	t.flight.Begun()
+	t.flight.Heard(time.Now())
 	return q.writeEvents(t.answer, whole)
 }
 
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -275,7 +276,15 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
+// pathOf returns the path of a request target as sent, without the query and,
+// in absolute form, without scheme and host.
 func pathOf(target string) string {
+	if !strings.HasPrefix(target, "/") {
+		if _, rest, ok := strings.Cut(target, "://"); ok {
+			_, path, _ := strings.Cut(rest, "/")
+			target = "/" + path
+		}
+	}
 	for i := range len(target) {
 		if target[i] == '?' {
 			return target[:i]
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -12,6 +12,12 @@
 	// suspendMin and suspendMax bound how long a failed server gets nothing.
 	suspendMin = 200 * time.Millisecond
 	suspendMax = 3 * time.Second
+	// quietAfter is how long a server with requests may send nothing before it
+	// is avoided: a server that has gone dark answers neither way.
+	quietAfter = 800 * time.Millisecond
+	// slowestReading is the pace, in tokens a millisecond, at which even a slow
+	// server reads prompts; meanwhile it may be silent.
+	slowestReading = 20
 	// smoothing is the weight of the newest observation.
 	smoothing = 0.15
 	// maxParts bounds the prompt parts remembered for a server.
@@ -56,6 +62,9 @@
 	failures   int
 	suspended  time.Time
 	errorShare float64
+	// heard is when the server last sent anything, or when it got the first of
+	// its present requests.
+	heard time.Time
 	// parts holds when each prompt part was last sent to the server, by any
 	// daemon; fresh holds those of the local daemon that others were not told.
 	parts map[uint64]time.Time
@@ -103,10 +112,17 @@
 		Held:       st.held(now, want.Prompt),
 		Slowness:   1,
 		ErrorShare: st.errorShare,
-		Suspended:  now.Before(st.suspended),
+		Suspended:  now.Before(st.suspended) || st.quiet(now, float64(st.reading)+others.reading),
 	}
 }
 
+// quiet reports whether the server owes answers and has sent nothing for longer
+// than the tokens that it has to read explain.
+func (st *state) quiet(now time.Time, reading float64) bool {
+	explained := time.Duration(reading/slowestReading) * time.Millisecond
+	return st.running > 0 && now.Sub(st.heard) > quietAfter+explained
+}
+
 func (t *Tracker) state(life backend.Life) *state {
 	st := t.servers[life]
 	if st == nil {
@@ -134,6 +150,9 @@
 	missing := max(0, want.TokensIn-c.Held)
 	t.demand.add(now, want.Tight, float64(missing)+outputWeight*float64(want.TokensOut))
 	f := &Flight{tracker: t, Server: s, reading: missing, Missing: missing, Backlog: int(c.Reading), tight: want.Tight}
+	if st.running == 0 {
+		st.heard = now
+	}
 	st.running++
 	if f.tight {
 		st.tight++
@@ -193,10 +212,11 @@
 	ended   bool
 }
 
-// Begun records the first event or the answer of the request.
-func (f *Flight) Begun() {
+// Heard records that the server sent a part of the answer.
+func (f *Flight) Heard(now time.Time) {
 	f.tracker.mu.Lock()
 	defer f.tracker.mu.Unlock()
+	f.tracker.state(f.Server.Life()).heard = now
 	f.read()
 }
 
@@ -222,6 +242,7 @@
 	switch r {
 	case Served:
 		st.failures = 0
+		st.heard = now
 		st.observe(0)
 	case Failed:
 		st.observe(1)
