--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,100 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var limit = Limit{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second}
+
+// TestNoWindowExceedsTheLimit plays daemons without knowledge of each other and
+// counts every sliding window.
+func TestNoWindowExceedsTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 4
+		start := time.Now()
+		var budgets []*Budget
+		for range daemons {
+			b := New(limit, func() int { return daemons })
+			b.start = start
+			budgets = append(budgets, b)
+		}
+		type event struct {
+			at     time.Duration
+			repeat bool
+		}
+		var events []event
+		at := time.Duration(0)
+		for range rapid.IntRange(50, 600).Draw(t, "events") {
+			at += time.Duration(rapid.IntRange(0, 80).Draw(t, "pause")) * time.Millisecond
+			b := budgets[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			now := start.Add(at)
+			if rapid.IntRange(0, 9).Draw(t, "kind") < 3 {
+				b.Request("s", now)
+				events = append(events, event{at, false})
+				continue
+			}
+			if b.Repeat("s", now) {
+				events = append(events, event{at, true})
+			}
+		}
+		for i := range events {
+			requests, repeats := 0.0, 0.0
+			for _, e := range events[i:] {
+				if e.at-events[i].at > limit.Window {
+					break
+				}
+				if e.repeat {
+					repeats++
+				}
+			}
+			// The limit counts the requests of this window or of the one before.
+			for _, e := range events {
+				if e.at > events[i].at-limit.Window && e.at <= events[i].at+limit.Window && !e.repeat {
+					requests++
+				}
+			}
+			if repeats > limit.Ratio*requests+limit.Allowance {
+				t.Fatalf("%v repeats beside %v requests from %v on", repeats, requests, events[i].at)
+			}
+		}
+	})
+}
+
+func TestQuietServiceKeepsItsPartOfTheAllowance(t *testing.T) {
+	b := New(limit, func() int { return 6 })
+	now := time.Now()
+	allowed := 0
+	for b.Repeat("s", now) {
+		allowed++
+	}
+	assert.Equal(t, allowed, int(safety*limit.Allowance/6))
+	assert.Assert(t, !b.Repeat("s", now.Add(limit.Window/2)))
+	assert.Assert(t, b.Repeat("s", now.Add(limit.Window+time.Second)))
+	assert.Assert(t, b.Repeat("other", now), "services have budgets of their own")
+}
+
+// TestDaemonThatLosesSightOfOthersKeepsItsPart: a daemon that is cut off must
+// not take the parts of all others.
+func TestDaemonThatLosesSightOfOthersKeepsItsPart(t *testing.T) {
+	live := 7
+	b := New(limit, func() int { return live })
+	now := time.Now()
+	assert.Assert(t, b.Repeat("s", now))
+	live = 1
+	allowed := 1
+	for b.Repeat("s", now.Add(time.Second)) {
+		allowed++
+	}
+	assert.Equal(t, allowed, int(safety*limit.Allowance/7))
+}
+
+
+func TestLimitChangesWhileRunning(t *testing.T) {
+	b := New(limit, func() int { return 1 })
+	b.SetLimit(Limit{Ratio: 0, Allowance: 0, Window: time.Second})
+	assert.Assert(t, !b.Repeat("s", time.Now()))
+}
--- /dev/null
+++ b/mirror/follow_test.go
@@ -0,0 +1,120 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/store"
+)
+
+// fakeSource is a store that can be away or forget its history.
+type fakeSource struct {
+	mu      sync.Mutex
+	h       history
+	away    bool
+	horizon store.Revision
+	calls   int
+}
+
+var errAway = errors.New("store is away")
+
+func (f *fakeSource) List(context.Context) ([]store.Entry, store.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.away {
+		return nil, 0, errAway
+	}
+	return values(f.h.state(f.h.at())), f.h.at(), nil
+}
+
+func (f *fakeSource) Watch(ctx context.Context, after store.Revision) ([]store.Entry, store.Revision, error) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+	for range 50 {
+		f.mu.Lock()
+		away, horizon, changes, at := f.away, f.horizon, f.h.log[after:], f.h.at()
+		f.mu.Unlock()
+		switch {
+		case away:
+			return nil, 0, errAway
+		case after < horizon:
+			return nil, 0, ErrCompacted
+		case len(changes) > 0:
+			return changes, at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil, after, nil
+}
+
+func (f *fakeSource) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+func quietLog() *log.Logger { return log.New(io.Discard) }
+
+// applyBound is how soon a change must be in force.
+const applyBound = 2 * time.Second
+
+func TestFollowerSeesChangesThroughOutagesAndLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &fakeSource{}
+		c := NewCopy(func([]store.Entry) {})
+		f := NewFollower(c, src, quietLog(), metrics.NewRegistry())
+		assert.NilError(t, f.Start(t.Context()))
+		src.change(func() { src.h.put("a", "1") })
+		time.Sleep(applyBound)
+		assert.Equal(t, len(c.Records("a")), 1)
+		assert.Assert(t, !c.Status().Away)
+
+		src.change(func() { src.away = true; src.h.put("b", "1"); src.h.remove("a") })
+		time.Sleep(applyBound)
+		assert.Assert(t, c.Status().Away)
+		assert.Equal(t, len(c.Records("a")), 1, "an outage takes nothing out")
+
+		src.change(func() { src.away = false; src.horizon = src.h.at() })
+		time.Sleep(applyBound)
+		assert.Assert(t, !c.Status().Away)
+		assert.Equal(t, len(c.Records("a")), 0)
+		assert.Equal(t, len(c.Records("b")), 1)
+		assert.NilError(t, f.Stop(t.Context()))
+	})
+}
+
+// TestBeatsCostFewCalls: servers write at every heartbeat, and the calls of a
+// daemon must not grow with them.
+func TestBeatsCostFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &fakeSource{}
+		c := NewCopy(func([]store.Entry) {})
+		f := NewFollower(c, src, quietLog(), metrics.NewRegistry())
+		assert.NilError(t, f.Start(t.Context()))
+		const seconds, writesPerSecond, callsPerSecond = 20, 50, 4
+		for range seconds * writesPerSecond {
+			src.change(func() { src.h.put("a", "beat") })
+			time.Sleep(time.Second / writesPerSecond)
+		}
+		src.mu.Lock()
+		calls := src.calls
+		src.mu.Unlock()
+		assert.Assert(t, calls <= seconds*callsPerSecond, "%d calls in %d seconds", calls, seconds)
+		assert.NilError(t, f.Stop(t.Context()))
+	})
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,212 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/backend"
+)
+
+var now = time.Unix(1000, 0)
+
+func server(i int) *backend.Server {
+	return &backend.Server{ID: fmt.Sprint("server-", i), Service: "engines", Domain: "d1", Slots: 64}
+}
+
+func servers(n int) []*backend.Server {
+	var out []*backend.Server
+	for i := range n {
+		out = append(out, server(i))
+	}
+	return out
+}
+
+// long is a request whose prompt is mostly shared with others.
+func long(shared string, own int) Want {
+	return Want{
+		Prompt:   []Part{NewPart(shared, 13000), NewPart(fmt.Sprint("own-", own), 4000)},
+		TokensIn: 17000, TokensOut: 120, Domain: "d1",
+	}
+}
+
+// chat is a short request whose events must come in quick succession.
+func chat(own int) Want {
+	return Want{
+		Prompt:   []Part{NewPart("greeting", 200), NewPart(fmt.Sprint("chat-", own), 1200)},
+		TokensIn: 1400, TokensOut: 170, Domain: "d1", Tight: true,
+	}
+}
+
+func TestRequestsFollowTheHolderOfTheirPrompt(t *testing.T) {
+	tracker := NewTracker(1)
+	all := servers(12)
+	holders := map[string]bool{}
+	for i := range 40 {
+		f := tracker.Place(now, all, long("archive", i))
+		holders[f.Server.ID] = true
+		f.Heard(now)
+		f.End(now, Served)
+	}
+	assert.Equal(t, len(holders), 1)
+}
+
+// TestDaemonsAgreeOnTheFirstHolder: daemons that know nothing of each other
+// send the same part to the same server.
+func TestDaemonsAgreeOnTheFirstHolder(t *testing.T) {
+	all := servers(12)
+	for part := range 20 {
+		shared := fmt.Sprint("archive-", part)
+		first := NewTracker(1).Place(now, all, long(shared, 0)).Server.ID
+		for seed := range uint64(5) {
+			assert.Equal(t, NewTracker(seed+2).Place(now, all, long(shared, 1)).Server.ID, first)
+		}
+	}
+}
+
+// TestHotPartSpreadsOnceItsHolderIsFarBehind is the load of a hot key: one
+// server can't read the own parts of all requests.
+func TestHotPartSpreadsOnceItsHolderIsFarBehind(t *testing.T) {
+	tracker := NewTracker(1)
+	all := servers(12)
+	used := map[string]int{}
+	const requests = 120
+	for i := range requests {
+		used[tracker.Place(now, all, long("hot", i)).Server.ID]++
+	}
+	assert.Assert(t, len(used) >= 3, "%v", used)
+	for id, n := range used {
+		assert.Assert(t, n <= requests/2, "%s has %d of %d", id, n, requests)
+	}
+}
+
+// TestChatsAndLongPromptsKeepApart is the load of a burst of long prompts
+// beside chats: no chat runs where long prompts are read, and the other way.
+func TestChatsAndLongPromptsKeepApart(t *testing.T) {
+	tracker := NewTracker(1)
+	all := servers(16)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	chats, longs := map[string]int{}, map[string]int{}
+	type running struct {
+		flight *Flight
+		until  int
+	}
+	var open []running
+	const rounds = 400
+	for i := range rounds {
+		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+		kept := open[:0]
+		for _, r := range open {
+			if r.until <= i {
+				r.flight.Heard(at)
+				r.flight.End(at, Served)
+			} else {
+				kept = append(kept, r)
+			}
+		}
+		open = kept
+		f := tracker.Place(at, all, chat(i))
+		chats[f.Server.ID]++
+		f.Heard(at)
+		open = append(open, running{f, i + 60})
+		g := tracker.Place(at, all, long(fmt.Sprint("archive-", rnd.IntN(40)), i))
+		longs[g.Server.ID]++
+		open = append(open, running{g, i + 80})
+	}
+	shared := 0
+	for id, n := range chats {
+		shared += min(n, longs[id])
+	}
+	assert.Assert(t, shared < rounds/10, "chats %v, long prompts %v", chats, longs)
+	assert.Assert(t, len(chats) >= 2 && len(longs) >= 6, "chats %v, long prompts %v", chats, longs)
+}
+
+func TestFailingServersAreAvoidedAndTriedAgain(t *testing.T) {
+	tracker := NewTracker(1)
+	all := servers(2)
+	want := Want{Domain: "d1"}
+	f := tracker.Place(now, all, want)
+	bad := f.Server.ID
+	f.End(now, Unreachable)
+	for range 20 {
+		g := tracker.Place(now, all, want)
+		assert.Assert(t, g.Server.ID != bad)
+		g.End(now, Served)
+	}
+	later := now.Add(suspendMax)
+	tried := map[string]bool{}
+	for range 40 {
+		g := tracker.Place(later, all, want)
+		tried[g.Server.ID] = true
+		g.End(later, Served)
+	}
+	assert.Assert(t, tried[bad], "a suspension ends")
+	only := tracker.Place(now, all[:1], want)
+	assert.Assert(t, only != nil, "a suspended server is better than none")
+}
+
+// TestServersThatFailMoreThanOthersGetLess: what all servers fail alike is no
+// reason to avoid one.
+func TestServersThatFailMoreThanOthersGetLess(t *testing.T) {
+	tracker := NewTracker(1)
+	all := servers(4)
+	want := Want{Domain: "d1"}
+	counts := map[string]int{}
+	rnd := rand.New(rand.NewPCG(2, 2))
+	const requests = 2000
+	for range requests {
+		f := tracker.Place(now, all, want)
+		counts[f.Server.ID]++
+		share := 0.1
+		if f.Server.ID == "server-0" {
+			share = 0.6
+		}
+		result := Served
+		if rnd.Float64() < share {
+			result = Failed
+		}
+		f.End(now, result)
+	}
+	assert.Assert(t, counts["server-0"] < requests/20, "%v", counts)
+}
+
+func TestSilentServersAreAvoided(t *testing.T) {
+	tracker := NewTracker(1)
+	all := servers(2)
+	want := Want{Domain: "d1"}
+	stuck := tracker.Place(now, all, want)
+	later := now.Add(2 * quietAfter)
+	for range 10 {
+		f := tracker.Place(later, all, want)
+		assert.Assert(t, f.Server.ID != stuck.Server.ID)
+		f.End(later, Served)
+	}
+	// One that reads a long prompt may be silent for longer.
+	tracker = NewTracker(1)
+	busy := tracker.Place(now, all, long("archive", 0))
+	for i := range 3 {
+		f := tracker.Place(later, all, long("archive", i+1))
+		assert.Equal(t, f.Server.ID, busy.Server.ID)
+		f.End(later, Abandoned)
+	}
+}
+
+func TestNearServersGoFirst(t *testing.T) {
+	near, far := server(1), server(2)
+	far.Domain = "d2"
+	counts := map[string]int{}
+	tracker := NewTracker(1)
+	for range 100 {
+		f := tracker.Place(now, []*backend.Server{near, far}, Want{Domain: "d1"})
+		counts[f.Server.ID]++
+		f.End(now, Served)
+	}
+	assert.Equal(t, counts[near.ID], 100)
+}
+
+func TestNoServersNoPlace(t *testing.T) {
+	assert.Assert(t, NewTracker(1).Place(now, nil, chat(1)) == nil)
+}
