Test connections, forwarding and the adapter against stand-ins

Ruled out: a second deployment simulator; the stand-ins are a few scripts of servers and the store's calls from memory. Found and mended: a request without a host was handled.

--- /dev/null
+++ b/forward/harness_test.go
@@ -0,0 +1,246 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/budget"
+	"github.com/jacinththread/jacinththread/ingress"
+	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/route"
+	"github.com/jacinththread/jacinththread/upstream"
+)
+
+// testDialect has plain header names of its own.
+type testDialect struct{}
+
+func (testDialect) Meta(h http.Header) Meta {
+	m := Meta{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
+		m.Wait = time.Duration(ms) * time.Millisecond
+	}
+	return m
+}
+
+func (testDialect) Outgoing(h http.Header, s Sending) http.Header {
+	h.Del("Key")
+	h.Set("Wait", strconv.FormatInt(s.Wait.Milliseconds(), 10))
+	h.Set("Server", s.Server)
+	h.Set("Customer", s.Customer)
+	if s.LastEvent != "" {
+		h.Set("Last", s.LastEvent)
+	}
+	return h
+}
+
+func (testDialect) Owns(h http.Header, id string) bool {
+	return h.Get("Id") == "" || h.Get("Id") == id
+}
+
+func (testDialect) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+
+func (testDialect) Genuine(h http.Header) bool { return h.Get("Seal") != "" }
+
+func (testDialect) Identify(h http.Header, id string) { h.Set("Id", id) }
+
+// run is a request that a server began to work on.
+type run struct {
+	server   string
+	id       string
+	customer string
+	key      string
+	last     string
+	wait     int
+}
+
+// deployment is a forwarder between a caller and fake servers.
+type deployment struct {
+	t       *testing.T
+	catalog *backend.Catalog
+	config  route.Config
+	table   *route.Table
+	ingress *ingress.Server
+	limit   budget.Limit
+
+	mu   sync.Mutex
+	runs []run
+	// arrivals counts what reached a server, refused or not.
+	arrivals int
+}
+
+// script is what a server does with a request after it was read. It returns
+// true to keep the connection.
+type script func(d *deployment, c net.Conn, r *bufio.Reader, req run) (keep bool)
+
+func newDeployment(t *testing.T, routes ...route.Route) *deployment {
+	t.Helper()
+	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}}
+	d.catalog = backend.NewCatalog(log.New(io.Discard))
+	d.catalog.SetStoreAway(false, time.Now().Add(-time.Hour))
+	for i := range routes {
+		routes[i].Host, routes[i].Shares = "h", []route.Share{{Service: "s", Weight: 1}}
+		routes[i].MaxAttempts = max(1, routes[i].MaxAttempts)
+	}
+	d.config = route.Config{Version: 1, Routes: routes, Customers: []route.Customer{{Name: "customer", Keys: []string{"key"}}}}
+	d.table = route.Compile(&d.config)
+	return d
+}
+
+// start begins to serve callers.
+func (d *deployment) start() {
+	registry := metrics.NewRegistry()
+	f := New(Config{
+		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
+		Tracker: placement.NewTracker(1), Budget: budget.New(d.limit, func() int { return 1 }),
+		Dialect: testDialect{}, Log: log.New(io.Discard), Metrics: registry,
+	})
+	d.ingress = ingress.New(ingress.Config{
+		Addr: "127.0.0.1:0", Handler: f.Serve, Limits: func() ingress.Limits { return ingress.Limits{} },
+		MaxConns: 100, MaxBodies: 1 << 24, Log: log.New(io.Discard), Metrics: registry,
+	})
+	assert.NilError(d.t, d.ingress.Start(d.t.Context()))
+	d.t.Cleanup(func() { d.ingress.Stop(context.Background()) })
+}
+
+// addServer starts a server that follows a script for each request.
+func (d *deployment) addServer(id string, f script) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(d.t, err)
+	d.t.Cleanup(func() { l.Close() })
+	d.catalog.Put(backend.Server{ID: id, Service: "s", Addr: l.Addr().String()})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go d.serveConn(id, c, f)
+		}
+	}()
+}
+
+func (d *deployment) serveConn(id string, c net.Conn, f script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		wait, _ := strconv.Atoi(req.Header.Get("Wait"))
+		d.mu.Lock()
+		d.arrivals++
+		d.mu.Unlock()
+		if !f(d, c, r, run{
+			server: id, id: req.Header.Get("Id"), customer: req.Header.Get("Customer"),
+			key: req.Header.Get("Key"), last: req.Header.Get("Last"), wait: wait,
+		}) {
+			return
+		}
+	}
+}
+
+// ran records that a server runs a request.
+func (d *deployment) ran(r run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs = append(d.runs, r)
+}
+
+func (d *deployment) runsOf(id string) []run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []run
+	for _, r := range d.runs {
+		if r.id == id {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: true\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Scripts of servers.
+func serves(d *deployment, c net.Conn, _ *bufio.Reader, r run) bool {
+	d.ran(r)
+	io.WriteString(c, ok(r.id, "answer"))
+	return true
+}
+
+func refuses(_ *deployment, c net.Conn, _ *bufio.Reader, r run) bool {
+	io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nId: "+r.id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
+
+func resets(d *deployment, c net.Conn, _ *bufio.Reader, r run) bool {
+	d.ran(r)
+	c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+func hangs(d *deployment, _ net.Conn, br *bufio.Reader, r run) bool {
+	d.ran(r)
+	br.ReadByte()
+	return false
+}
+
+// says answers with fixed bytes after it ran the request.
+func says(bytes string) script {
+	return func(d *deployment, c net.Conn, _ *bufio.Reader, r run) bool {
+		d.ran(r)
+		io.WriteString(c, strings.ReplaceAll(bytes, "$ID", r.id))
+		return false
+	}
+}
+
+// result is what the caller got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	// err is set if the answer was not whole.
+	err error
+}
+
+// send sends a request of a caller and reads the answer.
+func (d *deployment) send(method, path, id string, header ...string) result {
+	d.t.Helper()
+	c, err := net.Dial("tcp", d.ingress.Addr())
+	assert.NilError(d.t, err)
+	defer c.Close()
+	assert.NilError(d.t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nContent-Length: 4\r\n", method, path, id)
+	for i := 0; i < len(header); i += 2 {
+		fmt.Fprintf(&b, "%s: %s\r\n", header[i], header[i+1])
+	}
+	b.WriteString("\r\nbody")
+	_, err = io.WriteString(c, b.String())
+	assert.NilError(d.t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return result{err: err}
+	}
+	body, err := io.ReadAll(res.Body)
+	return result{status: res.StatusCode, header: res.Header, body: string(body), err: err}
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -127,6 +127,9 @@
 	if err != nil {
 		return nil, &statusError{http.StatusBadRequest, "request head is malformed: " + err.Error()}
 	}
+	if req.Host == "" && req.ProtoAtLeast(1, 1) {
+		return nil, &statusError{http.StatusBadRequest, "request names no host"}
+	}
 	return req, nil
 }
 
