--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"io"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/kernel"
+)
+
+// newTestDaemon returns a daemon on free loopback ports that was not started.
+func newTestDaemon(t *testing.T, registry metrics.Registry) *Daemon {
+	t.Helper()
+	s := &Settings{
+		Name: "d", Domain: "a", Region: "r", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0",
+		Directory: "127.0.0.1:0", Descriptors: 4000, MemoryBytes: 1 << 28, Grace: time.Second,
+	}
+	s.Budget.Window = 10 * time.Second
+	return New(s, Adapter{DirectoryPath: "/d", ReadyPath: "/r"}, log.New(io.Discard), registry)
+}
+
+// metricRow finds the name of a metric in a row of its page.
+var metricRow = regexp.MustCompile("(?m)^\\| `([a-z._]+)` \\|")
+
+func TestMetricsPageListsTheMetricsOfTheEntryDaemon(t *testing.T) {
+	registry := metrics.NewRegistry()
+	_, err := kernel.New(log.New(io.Discard), newTestDaemon(t, registry).Modules()...)
+	assert.NilError(t, err)
+	page, err := os.ReadFile("../docs/operations/metrics-entry.md")
+	assert.NilError(t, err)
+	general, err := os.ReadFile("../docs/operations/metrics.md")
+	assert.NilError(t, err)
+	documented := map[string]bool{}
+	for _, row := range metricRow.FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = true
+	}
+	registered := registry.GetAll()
+	for name := range registered {
+		// Metrics of membership and peer links are those of the other daemon.
+		shared := strings.HasPrefix(name, "membership.") || strings.HasPrefix(name, "peer.")
+		assert.Check(t, documented[name] || shared && strings.Contains(string(general), "`"+name), "%s is on no page", name)
+	}
+	for name := range documented {
+		adapters := strings.HasPrefix(name, "platform.") || strings.HasPrefix(name, "telemetry.")
+		assert.Check(t, adapters || registered[name] != nil, "%s is on the page and does not exist", name)
+	}
+}
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -98,7 +98,7 @@
 	d.records = &records{decoder: a.Decoder, catalog: d.catalog, inForce: d.configInForce, log: logger}
 	d.copy = mirror.NewCopy(d.records.apply)
 	d.pool = upstream.NewPool(registry)
-	d.tracker = placement.NewTracker(rand.Uint64())
+	d.tracker = placement.NewTracker(rand.Uint64(), logger)
 	d.budget = budget.New(s.Budget, d.daemonCount)
 	return d
 }
@@ -240,7 +240,7 @@
 func (d *Daemon) newCallers(kernel.Registry) (kernel.Service, error) {
 	f := forward.New(forward.Config{
 		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget,
-		Dialect: d.adapter.Dialect, Domain: d.settings.Domain, Log: d.log, Metrics: d.metrics,
+		Dialect: d.adapter.Dialect, Domain: d.settings.Domain, Knowledge: d.knowledge, Log: d.log, Metrics: d.metrics,
 	})
 	d.callers = ingress.New(ingress.Config{
 		Addr: d.settings.Callers, Handler: f.Serve, Limits: d.limits,
@@ -251,6 +251,12 @@
 	return d.callers, nil
 }
 
+// knowledge tells how current the daemon's records are.
+func (d *Daemon) knowledge() (revision int64, age time.Duration) {
+	status := d.copy.Status()
+	return int64(status.At), time.Since(status.Updated)
+}
+
 func (d *Daemon) limits() ingress.Limits {
 	t := d.records.Table()
 	if t == nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -83,7 +83,9 @@
 // place chooses among the servers that were not tried yet.
 func (q *request) place() *placement.Flight {
 	var left []*backend.Server
-	for _, s := range q.cfg.Catalog.Ready(q.service) {
+	ready := q.cfg.Catalog.Ready(q.service)
+	q.known = len(ready)
+	for _, s := range ready {
 		if !q.tried[s.Life()] {
 			left = append(left, s)
 		}
@@ -196,7 +198,11 @@
 	if q.sends == 0 {
 		return true
 	}
-	return q.cfg.Budget.Repeat(q.service, time.Now())
+	if !q.cfg.Budget.Repeat(q.service, time.Now()) {
+		q.cfg.Log.Info("request not sent again, the budget for repeats is used up", "request_id", q.meta.ID, "service", q.service, "sends", q.sends)
+		return false
+	}
+	return true
 }
 
 // giveUp answers a request that no server has answered.
@@ -205,6 +211,10 @@
 		q.abort(left, "caller left")
 		return
 	}
+	if q.w.Started() && ctx.Err() != nil {
+		q.abort(broken, "deadline passed in the middle of the answer")
+		return
+	}
 	if q.w.Started() {
 		q.abort(broken, t.err.Error())
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -81,9 +81,12 @@
 	Budget  *budget.Budget
 	Dialect Dialect
 	// Domain is the failure domain of the local daemon.
-	Domain  string
-	Log     *log.Logger
-	Metrics metrics.Registry
+	Domain string
+	// Knowledge returns the store's revision up to which servers are known and
+	// how long ago that was.
+	Knowledge func() (revision int64, age time.Duration)
+	Log       *log.Logger
+	Metrics   metrics.Registry
 }
 
 // Forwarder handles requests of callers.
@@ -91,17 +94,23 @@
 	cfg     Config
 	outcome map[outcome]metrics.Counter
 	latency metrics.Histogram
+	first   metrics.Histogram
 }
 
-// latencySamples is the size of the sample kept for the latency histogram.
-const latencySamples = 512
+// latencySamples and latencyAlpha are the size and the decay of the sample kept
+// for latency histograms: about the last five minutes count.
+const (
+	latencySamples = 512
+	latencyAlpha   = 0.015
+)
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
 		cfg:     cfg,
 		outcome: map[outcome]metrics.Counter{},
-		latency: metrics.GetOrRegisterHistogram("forward.latency_ms", cfg.Metrics, metrics.NewUniformSample(latencySamples)),
+		latency: metrics.GetOrRegisterHistogram("forward.latency_ms", cfg.Metrics, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
+		first:   metrics.GetOrRegisterHistogram("forward.first_ms", cfg.Metrics, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
 	}
 	for _, o := range outcomes {
 		f.outcome[o] = metrics.GetOrRegisterCounter("forward.requests."+string(o), cfg.Metrics)
@@ -160,6 +169,8 @@
 	longestGap time.Duration
 	// backlog is what the chosen server had to read before, in tokens.
 	backlog, missing int
+	// known is the number of servers that were ready when it was last placed.
+	known int
 }
 
 // admit finds the route, the customer and the deadline, or answers.
@@ -221,6 +232,9 @@
 	took := time.Since(q.in.Arrived)
 	q.outcomeCounter().Inc(1)
 	q.latency.Update(took.Milliseconds())
+	if !q.first.IsZero() {
+		q.Forwarder.first.Update(q.firstAfter().Milliseconds())
+	}
 	var version route.Version
 	if q.table != nil {
 		version = q.table.Version()
@@ -232,11 +246,13 @@
 	if q.last != nil {
 		server = q.last.ID
 	}
+	revision, age := q.cfg.Knowledge()
 	q.cfg.Log.Info("request done", "request_id", q.meta.ID, "route", name, "customer", q.customer,
 		"service", q.service, "outcome", q.outcome, "status", q.status, "reason", q.reason,
 		"server", server, "sends", q.sends, "attempts", q.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", q.firstAfter().Milliseconds(), "gap_ms", q.longestGap.Milliseconds(),
-		"backlog_tokens", q.backlog, "missing_tokens", q.missing, "config", int64(version))
+		"backlog_tokens", q.backlog, "missing_tokens", q.missing, "config", int64(version),
+		"servers", q.known, "revision", revision, "age_ms", age.Milliseconds())
 }
 
 // firstAfter is the time to the first byte of the answer's body, or zero.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -105,7 +105,8 @@
 	registry := metrics.NewRegistry()
 	f := New(Config{
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
-		Tracker: placement.NewTracker(1), Budget: budget.New(d.limit, func() int { return 1 }),
+		Knowledge: func() (int64, time.Duration) { return 1, time.Second },
+		Tracker:   placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
 		Dialect: testDialect{}, Log: log.New(io.Discard), Metrics: registry,
 	})
 	d.ingress = ingress.New(ingress.Config{
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -138,9 +138,15 @@
 
 func (f *Follower) regained() {
 	before := f.copy.Status()
-	if f.copy.SetAway(false, time.Now()) {
-		f.log.Info("store reached", "revision", before.At, "after", time.Since(before.Since))
+	now := time.Now()
+	if !f.copy.SetAway(false, now) {
+		return
 	}
+	var lost time.Duration
+	if !before.Since.IsZero() {
+		lost = now.Sub(before.Since)
+	}
+	f.log.Info("store reached", "revision", before.At, "lost_ms", lost.Milliseconds())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -27,6 +27,9 @@
 	Away bool
 	// Since is when Away last changed.
 	Since time.Time
+	// Updated is when the copy was last known to be current, by the store or by
+	// a peer.
+	Updated time.Time
 }
 
 // Copy holds the records. It is safe for concurrent use.
@@ -39,6 +42,7 @@
 	at      store.Revision
 	away    bool
 	since   time.Time
+	updated time.Time
 	changed func([]store.Entry)
 }
 
@@ -62,10 +66,11 @@
 func (c *Copy) Status() Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Status{At: c.at, Away: c.away, Since: c.since}
+	return Status{At: c.at, Away: c.away, Since: c.since, Updated: c.updated}
 }
 
 // SetAway records whether the store answers and reports whether that changed.
+// Before the first call, nobody knows and it counts as away.
 func (c *Copy) SetAway(away bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,6 +101,7 @@
 	defer c.mu.Unlock()
 	c.merge(changes, now)
 	c.at = max(c.at, at)
+	c.updated = now
 	c.forget(now)
 }
 
@@ -119,6 +125,7 @@
 	}
 	c.merge(changes, now)
 	c.at = at
+	c.updated = now
 	c.forget(now)
 }
 
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -27,7 +27,7 @@
 	all := servers(pool)
 	var trackers []*Tracker
 	for i := range daemons {
-		trackers = append(trackers, NewTracker(uint64(i)))
+		trackers = append(trackers, newTracker(uint64(i)))
 	}
 	counts := map[string]int{}
 	for i := range requests {
@@ -42,7 +42,7 @@
 
 func TestDaemonsLearnWhoHoldsAPart(t *testing.T) {
 	all := servers(10)
-	a, b := NewTracker(1), NewTracker(2)
+	a, b := newTracker(1), newTracker(2)
 	first := a.Place(now, all[:1], long("archive", 0))
 	exchange(now, []*Tracker{a, b})
 	first.End(now, Served)
@@ -52,7 +52,7 @@
 
 func TestLoadsOfSilentDaemonsExpire(t *testing.T) {
 	all := servers(2)
-	a, b := NewTracker(1), NewTracker(2)
+	a, b := newTracker(1), newTracker(2)
 	for i := range 20 {
 		a.Place(now, all[:1], chat(i))
 	}
@@ -65,7 +65,7 @@
 
 func TestALoadIsToldOnceItIsGone(t *testing.T) {
 	all := servers(1)
-	a, b := NewTracker(1), NewTracker(2)
+	a, b := newTracker(1), newTracker(2)
 	f := a.Place(now, all, chat(0))
 	exchange(now, []*Tracker{a, b})
 	f.End(now, Served)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/backend"
@@ -13,6 +15,8 @@
 
 var now = time.Unix(1000, 0)
 
+func newTracker(seed uint64) *Tracker { return NewTracker(seed, log.New(io.Discard)) }
+
 func server(i int) *backend.Server {
 	return &backend.Server{ID: fmt.Sprint("server-", i), Service: "engines", Domain: "d1", Slots: 64}
 }
@@ -42,7 +46,7 @@
 }
 
 func TestRequestsFollowTheHolderOfTheirPrompt(t *testing.T) {
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	all := servers(12)
 	holders := map[string]bool{}
 	for i := range 40 {
@@ -60,9 +64,9 @@
 	all := servers(12)
 	for part := range 20 {
 		shared := fmt.Sprint("archive-", part)
-		first := NewTracker(1).Place(now, all, long(shared, 0)).Server.ID
+		first := newTracker(1).Place(now, all, long(shared, 0)).Server.ID
 		for seed := range uint64(5) {
-			assert.Equal(t, NewTracker(seed+2).Place(now, all, long(shared, 1)).Server.ID, first)
+			assert.Equal(t, newTracker(seed+2).Place(now, all, long(shared, 1)).Server.ID, first)
 		}
 	}
 }
@@ -70,7 +74,7 @@
 // TestHotPartSpreadsOnceItsHolderIsFarBehind is the load of a hot key: one
 // server can't read the own parts of all requests.
 func TestHotPartSpreadsOnceItsHolderIsFarBehind(t *testing.T) {
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	all := servers(12)
 	used := map[string]int{}
 	const requests = 120
@@ -86,7 +90,7 @@
 // TestChatsAndLongPromptsKeepApart is the load of a burst of long prompts
 // beside chats: no chat runs where long prompts are read, and the other way.
 func TestChatsAndLongPromptsKeepApart(t *testing.T) {
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	all := servers(16)
 	rnd := rand.New(rand.NewPCG(1, 1))
 	chats, longs := map[string]int{}, map[string]int{}
@@ -125,7 +129,7 @@
 }
 
 func TestFailingServersAreAvoidedAndTriedAgain(t *testing.T) {
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	all := servers(2)
 	want := Want{Domain: "d1"}
 	f := tracker.Place(now, all, want)
@@ -151,7 +155,7 @@
 // TestServersThatFailMoreThanOthersGetLess: what all servers fail alike is no
 // reason to avoid one.
 func TestServersThatFailMoreThanOthersGetLess(t *testing.T) {
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	all := servers(4)
 	want := Want{Domain: "d1"}
 	counts := map[string]int{}
@@ -174,7 +178,7 @@
 }
 
 func TestSilentServersAreAvoided(t *testing.T) {
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	all := servers(2)
 	want := Want{Domain: "d1"}
 	stuck := tracker.Place(now, all, want)
@@ -185,7 +189,7 @@
 		f.End(later, Served)
 	}
 	// One that reads a long prompt may be silent for longer.
-	tracker = NewTracker(1)
+	tracker = newTracker(1)
 	busy := tracker.Place(now, all, long("archive", 0))
 	for i := range 3 {
 		f := tracker.Place(later, all, long("archive", i+1))
@@ -198,7 +202,7 @@
 	near, far := server(1), server(2)
 	far.Domain = "d2"
 	counts := map[string]int{}
-	tracker := NewTracker(1)
+	tracker := newTracker(1)
 	for range 100 {
 		f := tracker.Place(now, []*backend.Server{near, far}, Want{Domain: "d1"})
 		counts[f.Server.ID]++
@@ -208,5 +212,5 @@
 }
 
 func TestNoServersNoPlace(t *testing.T) {
-	assert.Assert(t, NewTracker(1).Place(now, nil, chat(1)) == nil)
+	assert.Assert(t, newTracker(1).Place(now, nil, chat(1)) == nil)
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/jacinththread/jacinththread/backend"
 )
 
@@ -46,6 +48,8 @@
 // Tracker remembers what the local daemon has sent to each server and how it
 // went. It is safe for concurrent use.
 type Tracker struct {
+	log *log.Logger
+
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	servers map[backend.Life]*state
@@ -65,6 +69,8 @@
 	// heard is when the server last sent anything, or when it got the first of
 	// its present requests.
 	heard time.Time
+	// wasQuiet is what was last logged about its silence.
+	wasQuiet bool
 	// parts holds when each prompt part was last sent to the server, by any
 	// daemon; fresh holds those of the local daemon that others were not told.
 	parts map[uint64]time.Time
@@ -72,8 +78,9 @@
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker(seed uint64) *Tracker {
+func NewTracker(seed uint64, logger *log.Logger) *Tracker {
 	return &Tracker{
+		log:     logger,
 		rnd:     rand.New(rand.NewPCG(seed, 0)),
 		servers: map[backend.Life]*state{},
 		told:    map[string]told{},
@@ -104,6 +111,11 @@
 func (t *Tracker) candidate(now time.Time, s *backend.Server, want Want) Candidate {
 	st := t.state(s.Life())
 	others := t.remote[s.Life()]
+	quiet := st.quiet(now, float64(st.reading)+others.reading)
+	if quiet != st.wasQuiet {
+		st.wasQuiet = quiet
+		t.log.Info("silence of a server changed", "server", s.ID, "silent", quiet, "running", st.running, "heard_ms", now.Sub(st.heard).Milliseconds())
+	}
 	return Candidate{
 		Server:     s,
 		Running:    float64(st.running) + others.running,
@@ -112,7 +124,7 @@
 		Held:       st.held(now, want.Prompt),
 		Slowness:   1,
 		ErrorShare: st.errorShare,
-		Suspended:  now.Before(st.suspended) || st.quiet(now, float64(st.reading)+others.reading),
+		Suspended:  now.Before(st.suspended) || quiet,
 	}
 }
 
@@ -247,7 +259,8 @@
 	case Failed:
 		st.observe(1)
 	case Unreachable:
-		st.suspend(now)
+		pause := st.suspend(now)
+		f.tracker.log.Info("server is avoided after a failure", "server", f.Server.ID, "failures", st.failures, "pause_ms", pause.Milliseconds())
 	case Full:
 		st.suspended = now.Add(suspendMin)
 	case Abandoned:
@@ -258,7 +271,10 @@
 	st.errorShare += smoothing * (failed - st.errorShare)
 }
 
-func (st *state) suspend(now time.Time) {
-	st.suspended = now.Add(min(suspendMax, suspendMin<<min(st.failures, 6)))
+// suspend keeps requests away for longer after each failure in a row.
+func (st *state) suspend(now time.Time) time.Duration {
+	pause := min(suspendMax, suspendMin<<min(st.failures, 6))
+	st.suspended = now.Add(pause)
 	st.failures++
+	return pause
 }
