Tell loads through relays in large fleets

Ruled out: telling everyone, which grows with the square of the fleet; asking servers for reports, which 75 daemons pay for. Change: in fleets of over 13, daemons tell the relays of each failure domain what changed, and a relay tells its domain the sums of its shard of the servers.

--- a/entry/modules.go
+++ b/entry/modules.go
@@ -182,7 +182,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return placement.NewSharing(d.tracker, node, d.peers, d.log, d.metrics), nil
+	return placement.NewSharing(d.tracker, node, d.fleet, d.log, d.metrics), nil
+}
+
+// fleet returns the live daemons with their failure domains.
+func (d *Daemon) fleet() placement.Fleet {
+	f := placement.Fleet{Self: placement.Peer{Name: d.settings.Peers, Domain: d.settings.Domain}}
+	for _, m := range d.members.Daemons() {
+		if m.Name != d.settings.Peers && m.State == membership.Alive {
+			f.Others = append(f.Others, placement.Peer{Name: m.Name, Domain: m.Domain})
+		}
+	}
+	return f
 }
 
 // peers returns the live daemons without the local one.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -41,7 +41,8 @@
 	KindMirrorRequest  Kind = 57
 	KindMirrorAnswer   Kind = 58
 
-	KindServerLoads Kind = 60
+	KindServerLoads  Kind = 60
+	KindServerTotals Kind = 61
 
 	KindClaim      Kind = 64
 	KindClaimReply Kind = 65
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -1,29 +1,17 @@
 package placement
 
 import (
-	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/charmbracelet/log"
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/peer"
 )
 
-const (
-	// shareInterval is the time between two messages about loads. A request
-	// that is placed on a busy server waits for several of these.
-	shareInterval = 80 * time.Millisecond
-	// shareFanout bounds the daemons told in a round, so that the messages of a
-	// daemon do not grow with the fleet.
-	shareFanout = 12
-	// loadAge is how long the loads that a daemon told count.
-	loadAge = 1500 * time.Millisecond
-)
+// loadAge is how long the loads that a daemon told count without being told
+// again.
+const loadAge = 2500 * time.Millisecond
 
-// load is what one daemon has at a server.
+// load is what a daemon, or all of them, have at a server.
 type load struct {
 	Server  string
 	Started int64
@@ -38,7 +26,15 @@
 	Parts []uint64
 }
 
-// loads is what one daemon has at all servers.
+func (l *load) life() backend.Life { return backend.Life{ID: l.Server, Started: l.Started} }
+
+// empty reports whether the load tells nothing.
+func (l *load) empty() bool {
+	return l.Running == 0 && l.Reading == 0 && len(l.Parts) == 0
+}
+
+// loads tells what the sender has at servers. Servers that it does not name are
+// as last told.
 type loads struct {
 	Loads []load
 }
@@ -46,140 +42,190 @@
 // Kind implements peer.Message.
 func (*loads) Kind() peer.Kind { return peer.KindServerLoads }
 
-// remote is the sum of what other daemons have at a server.
+// totals tells what all daemons together have at the servers of a shard.
+// Servers that it does not name have nothing.
+type totals struct {
+	Shard int32
+	Loads []load
+}
+
+// Kind implements peer.Message.
+func (*totals) Kind() peer.Kind { return peer.KindServerTotals }
+
+// remote is what other daemons have at a server.
 type remote struct {
 	running, tight, reading float64
 }
 
-// told is the last message of a daemon.
-type told struct {
-	when  time.Time
-	loads []load
+func (r *remote) add(l *load) {
+	r.running += float64(l.Running)
+	r.tight += float64(l.Tight)
+	r.reading += float64(l.Reading)
 }
 
-// Sharing tells other daemons what the local one has at each server.
-type Sharing struct {
-	tracker *Tracker
-	bus     peer.Bus
-	peers   func() []string
-	log     *log.Logger
-	cancel  context.CancelFunc
-	done    chan struct{}
-	quiet   bool
-	sent    metrics.Counter
-}
-
-// NewSharing registers the message handler. Peers lists the live daemons
-// without the local one.
-func NewSharing(t *Tracker, bus peer.Bus, peers func() []string, logger *log.Logger, registry metrics.Registry) *Sharing {
-	s := &Sharing{
-		tracker: t, bus: bus, peers: peers, log: logger, done: make(chan struct{}),
-		sent: metrics.GetOrRegisterCounter("placement.load_messages", registry),
-	}
-	bus.Handle(peer.KindServerLoads, func() peer.Message { return new(loads) }, func(from string, m peer.Message) {
-		t.hear(from, m.(*loads), time.Now())
-	})
-	return s
-}
-
-// Start implements kernel.Service.
-func (s *Sharing) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	go s.run(ctx)
-	return nil
-}
-
-// Stop implements kernel.Service.
-func (s *Sharing) Stop(context.Context) error {
-	s.cancel()
-	<-s.done
-	return nil
-}
-
-func (s *Sharing) run(ctx context.Context) {
-	defer close(s.done)
-	tick := time.NewTicker(shareInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.round()
-		}
-	}
+// without takes out what the local daemon last told of itself.
+func (r *remote) without(l load) {
+	r.running = max(0, r.running-float64(l.Running))
+	r.tight = max(0, r.tight-float64(l.Tight))
+	r.reading = max(0, r.reading-float64(l.Reading))
 }
 
-// round sends the local loads. A daemon without any says so once.
-func (s *Sharing) round() {
-	own := s.tracker.own()
-	if len(own) == 0 && s.quiet {
-		return
-	}
-	s.quiet = len(own) == 0
-	peers := s.peers()
-	if len(peers) == 0 {
-		return
-	}
-	m := &loads{Loads: own}
-	if len(peers) > shareFanout {
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		peers = peers[:shareFanout]
-	}
-	for _, name := range peers {
-		s.sent.Inc(1)
-		if err := s.bus.Send(name, m); err != nil {
-			s.log.Debug("loads were not sent", "daemon", name, "err", err)
-		}
-	}
+// told is what one daemon told of a server.
+type told struct {
+	when time.Time
+	load load
 }
 
-// own returns the loads of the local daemon.
-func (t *Tracker) own() []load {
+// heardTotals is the last message about a shard.
+type heardTotals struct {
+	when  time.Time
+	loads []load
+}
+
+// changes returns the loads of the local daemon that changed since they were
+// last returned, or all of them.
+func (t *Tracker) changes(all bool) []load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []load
 	for life, st := range t.servers {
-		if st.running > 0 || len(st.fresh) > 0 {
-			out = append(out, load{
-				Server: life.ID, Started: life.Started,
-				Running: int32(st.running), Tight: int32(st.tight), Reading: int32(st.reading), Parts: st.fresh,
-			})
-			st.fresh = nil
+		now := load{
+			Server: life.ID, Started: life.Started,
+			Running: int32(st.running), Tight: int32(st.tight), Reading: int32(st.reading), Parts: st.fresh,
+		}
+		same := now.Running == st.reported.Running && now.Tight == st.reported.Tight && now.Reading == st.reported.Reading
+		if same && len(st.fresh) == 0 && (!all || now.empty()) {
+			continue
 		}
+		out = append(out, now)
+		st.fresh = nil
+		st.reported = now
 	}
 	return out
 }
 
-// hear takes over the loads of another daemon.
+// hear takes over the loads that another daemon told of itself.
 func (t *Tracker) hear(from string, m *loads, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.told[from] = told{when: now, loads: m.Loads}
-	t.sumRemote(now)
+	t.noteParts(m.Loads, now)
 	for _, l := range m.Loads {
+		life := l.life()
+		if t.told[life] == nil {
+			t.told[life] = map[string]told{}
+		}
+		t.passOn[life] = append(t.passOn[life], l.Parts...)
+		l.Parts = nil
+		t.told[life][from] = told{when: now, load: l}
+	}
+}
+
+// hearTotals takes over what all daemons have at the servers of a shard.
+func (t *Tracker) hearTotals(m *totals, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteParts(m.Loads, now)
+	t.totals[m.Shard] = heardTotals{when: now, loads: m.Loads}
+}
+
+func (t *Tracker) noteParts(list []load, now time.Time) {
+	for _, l := range list {
 		if len(l.Parts) > 0 {
-			t.state(backend.Life{ID: l.Server, Started: l.Started}).note(l.Parts, now)
+			t.state(l.life()).note(l.Parts, now)
 		}
 	}
 }
 
-// sumRemote adds up what other daemons told lately.
-func (t *Tracker) sumRemote(now time.Time) {
+// sum works out what other daemons have at each server.
+func (t *Tracker) sum(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	clear(t.remote)
-	for name, m := range t.told {
+	for life := range t.told {
+		if r := t.sumTold(life, now); r != (remote{}) {
+			t.remote[life] = r
+		}
+	}
+	for shard, m := range t.totals {
 		if now.Sub(m.when) > loadAge {
-			delete(t.told, name)
+			delete(t.totals, shard)
 			continue
 		}
 		for _, l := range m.loads {
-			life := backend.Life{ID: l.Server, Started: l.Started}
-			r := t.remote[life]
-			r.running += float64(l.Running)
-			r.tight += float64(l.Tight)
-			r.reading += float64(l.Reading)
-			t.remote[life] = r
+			var r remote
+			r.add(&l)
+			if st := t.servers[l.life()]; st != nil {
+				r.without(st.reported)
+			}
+			t.remote[l.life()] = r
+		}
+	}
+}
+
+// sumTold adds up what other daemons told of a server and forgets what is old.
+func (t *Tracker) sumTold(life backend.Life, now time.Time) remote {
+	var r remote
+	for from, m := range t.told[life] {
+		if now.Sub(m.when) > loadAge {
+			delete(t.told[life], from)
+			continue
+		}
+		r.add(&m.load)
+	}
+	if len(t.told[life]) == 0 {
+		delete(t.told, life)
+	}
+	return r
+}
+
+// totalsOf adds up what all daemons have at the servers of a shard, the local
+// one included, for the daemons of the local domain.
+func (t *Tracker) totalsOf(shard int32, now time.Time) *totals {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := &totals{Shard: shard}
+	lives := map[backend.Life]bool{}
+	for life := range t.told {
+		lives[life] = true
+	}
+	for life, st := range t.servers {
+		if st.running > 0 || len(t.passOn[life]) > 0 {
+			lives[life] = true
+		}
+	}
+	for life := range lives {
+		if shardOf(life.ID) != shard {
+			continue
+		}
+		r := t.sumTold(life, now)
+		l := load{Server: life.ID, Started: life.Started, Running: int32(r.running), Tight: int32(r.tight), Reading: int32(r.reading), Parts: t.passOn[life]}
+		delete(t.passOn, life)
+		if st := t.servers[life]; st != nil {
+			l.Running += st.reported.Running
+			l.Tight += st.reported.Tight
+			l.Reading += st.reported.Reading
+		}
+		if !l.empty() {
+			m.Loads = append(m.Loads, l)
+		}
+	}
+	return m
+}
+
+// keepParts hands the local daemon's new parts to the next totals.
+func (t *Tracker) keepParts(list []load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range list {
+		if len(l.Parts) > 0 {
+			t.passOn[l.life()] = append(t.passOn[l.life()], l.Parts...)
 		}
 	}
 }
+
+// dropParts forgets parts that were kept for totals which nobody needs.
+func (t *Tracker) dropParts() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.passOn)
+}
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -2,73 +2,181 @@
 
 import (
 	"fmt"
+	"io"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/peer"
 )
 
-// exchange tells each tracker the loads of the others.
-func exchange(at time.Time, trackers []*Tracker) {
-	for i, from := range trackers {
-		m := &loads{Loads: from.own()}
-		for j, to := range trackers {
-			if i != j {
-				to.hear(fmt.Sprint("daemon-", i), m, at)
-			}
-		}
+// daemons is a fleet whose messages arrive at once.
+type daemons struct {
+	trackers map[string]*Tracker
+	sharings map[string]*Sharing
+	fleets   map[string]Fleet
+	names    []string
+	sent     int
+}
+
+// bus delivers messages of one daemon within a fleet.
+type bus struct {
+	self     string
+	all      *daemons
+	handlers map[peer.Kind]peer.Handler
+	peers    map[string]*bus
+}
+
+func (b *bus) Self() string { return b.self }
+
+func (b *bus) Send(to string, m peer.Message) error {
+	b.all.sent++
+	b.peers[to].handlers[m.Kind()](b.self, m)
+	return nil
+}
+
+func (b *bus) Handle(kind peer.Kind, _ func() peer.Message, h peer.Handler) { b.handlers[kind] = h }
+
+func (b *bus) OnLinkDown(func(string)) {}
+
+// newDaemons returns a fleet of n daemons in three failure domains.
+func newDaemons(n int) *daemons {
+	d := &daemons{trackers: map[string]*Tracker{}, sharings: map[string]*Sharing{}, fleets: map[string]Fleet{}}
+	var all []Peer
+	for i := range n {
+		all = append(all, Peer{Name: fmt.Sprint("daemon-", i), Domain: fmt.Sprint("d", i%3)})
+	}
+	buses := map[string]*bus{}
+	for i, self := range all {
+		others := slices.Delete(slices.Clone(all), i, i+1)
+		b := &bus{self: self.Name, all: d, handlers: map[peer.Kind]peer.Handler{}, peers: buses}
+		buses[self.Name] = b
+		d.names = append(d.names, self.Name)
+		d.trackers[self.Name] = newTracker(uint64(i))
+		d.fleets[self.Name] = Fleet{Self: self, Others: others}
+		d.sharings[self.Name] = NewSharing(d.trackers[self.Name], b, nil, log.New(io.Discard), metrics.NewRegistry())
+	}
+	return d
+}
+
+// round lets each daemon tell and hear once.
+func (d *daemons) round(at time.Time) {
+	for _, name := range d.names {
+		d.sharings[name].round(d.fleets[name], at)
+	}
+	for _, name := range d.names {
+		d.trackers[name].sum(at)
 	}
 }
 
-// TestDaemonsTogetherSpreadABurst: seven daemons place a burst of requests with
+func (d *daemons) tracker(i int) *Tracker { return d.trackers[d.names[i]] }
+
+// sizes are fleets that share directly and through relays.
+var sizes = []int{2, 7, 40}
+
+// TestDaemonsTogetherSpreadABurst: daemons place a burst of requests with
 // nothing in common. Each alone would be even; the sum has to be.
 func TestDaemonsTogetherSpreadABurst(t *testing.T) {
-	const daemons, pool, requests = 7, 10, 70
-	all := servers(pool)
-	var trackers []*Tracker
-	for i := range daemons {
-		trackers = append(trackers, newTracker(uint64(i)))
-	}
-	counts := map[string]int{}
-	for i := range requests {
-		w := Want{Prompt: []Part{NewPart(fmt.Sprint("own-", i), 4000)}, TokensIn: 4000, Domain: "d1"}
-		counts[trackers[i%daemons].Place(now, all, w).Server.ID]++
-		exchange(now, trackers)
+	for _, size := range sizes {
+		const pool, requests = 10, 80
+		d := newDaemons(size)
+		all := servers(pool)
+		counts := map[string]int{}
+		for i := range requests {
+			w := Want{Prompt: []Part{NewPart(fmt.Sprint("own-", i), 4000)}, TokensIn: 4000, Domain: "d1"}
+			counts[d.tracker(i%size).Place(now, all, w).Server.ID]++
+			d.round(now)
+			d.round(now)
+		}
+		for id, n := range counts {
+			assert.Assert(t, n <= 2*requests/pool, "%d daemons: %s has %d of %d", size, id, n, requests)
+		}
 	}
-	for id, n := range counts {
-		assert.Assert(t, n <= 2*requests/pool, "%s has %d of %d", id, n, requests)
+}
+
+// TestEveryDaemonKnowsAllLoads: what the others have is what all have without
+// the daemon's own part.
+func TestEveryDaemonKnowsAllLoads(t *testing.T) {
+	for _, size := range sizes {
+		d := newDaemons(size)
+		all := servers(6)
+		running := map[string]float64{}
+		var flights []*Flight
+		for i := range 3 * size {
+			f := d.tracker(i%size).Place(now, all, chat(i))
+			running[f.Server.ID]++
+			flights = append(flights, f)
+		}
+		check := func(what string) {
+			for _, name := range d.names {
+				tracker := d.trackers[name]
+				for _, s := range all {
+					own := float64(tracker.state(s.Life()).running)
+					assert.Equal(t, tracker.remote[s.Life()].running+own, running[s.ID], "%d daemons, %s: %s at %s", size, what, s.ID, name)
+				}
+			}
+		}
+		d.round(now)
+		d.round(now.Add(refreshInterval))
+		check("placed")
+		for _, f := range flights {
+			f.End(now, Served)
+			running[f.Server.ID] = 0
+		}
+		d.round(now.Add(2 * refreshInterval))
+		d.round(now.Add(3 * refreshInterval))
+		check("ended")
 	}
 }
 
 func TestDaemonsLearnWhoHoldsAPart(t *testing.T) {
-	all := servers(10)
-	a, b := newTracker(1), newTracker(2)
-	first := a.Place(now, all[:1], long("archive", 0))
-	exchange(now, []*Tracker{a, b})
-	first.End(now, Served)
-	exchange(now, []*Tracker{a, b})
-	assert.Equal(t, b.Place(now, all, long("archive", 1)).Server.ID, first.Server.ID)
+	for _, size := range sizes {
+		d := newDaemons(size)
+		all := servers(10)
+		first := d.tracker(0).Place(now, all[3:4], long("archive", 0))
+		d.round(now)
+		first.End(now, Served)
+		d.round(now)
+		for i := range size {
+			f := d.tracker(i).Place(now, all, long("archive", i+1))
+			assert.Equal(t, f.Server.ID, first.Server.ID, "%d daemons, daemon %d", size, i)
+			f.End(now, Abandoned)
+		}
+	}
 }
 
 func TestLoadsOfSilentDaemonsExpire(t *testing.T) {
+	d := newDaemons(2)
 	all := servers(2)
-	a, b := newTracker(1), newTracker(2)
 	for i := range 20 {
-		a.Place(now, all[:1], chat(i))
+		d.tracker(0).Place(now, all[:1], chat(i))
 	}
-	exchange(now, []*Tracker{a, b})
+	d.round(now)
 	loaded := all[0].Life()
-	assert.Equal(t, b.remote[loaded].running, 20.0)
-	b.hear("another", &loads{}, now.Add(2*loadAge))
-	assert.Equal(t, b.remote[loaded].running, 0.0)
+	assert.Equal(t, d.tracker(1).remote[loaded].running, 20.0)
+	d.tracker(1).sum(time.Now().Add(2 * loadAge))
+	assert.Equal(t, d.tracker(1).remote[loaded].running, 0.0)
 }
 
-func TestALoadIsToldOnceItIsGone(t *testing.T) {
-	all := servers(1)
-	a, b := newTracker(1), newTracker(2)
-	f := a.Place(now, all, chat(0))
-	exchange(now, []*Tracker{a, b})
-	f.End(now, Served)
-	exchange(now, []*Tracker{a, b})
-	assert.Equal(t, b.remote[all[0].Life()].running, 0.0)
+// TestMessagesDoNotGrowWithTheSquareOfTheFleet: each daemon has requests at a
+// few servers that change in every round.
+func TestMessagesDoNotGrowWithTheSquareOfTheFleet(t *testing.T) {
+	perDaemon := func(size int) float64 {
+		d := newDaemons(size)
+		all := servers(40)
+		const rounds = 10
+		for i := range rounds {
+			for j := range size {
+				d.tracker(j).Place(now, all, chat(i*size+j)).End(now, Served)
+			}
+			d.round(now.Add(time.Duration(i) * shareInterval))
+		}
+		return float64(d.sent) / rounds / float64(size)
+	}
+	small, large := perDaemon(30), perDaemon(120)
+	assert.Assert(t, large < 1.5*small, "%.1f messages a round at 30 daemons, %.1f at 120", small, large)
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -53,10 +53,14 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	servers map[backend.Life]*state
-	// told holds the last message of each daemon, remote their sums.
-	told   map[string]told
-	demand demand
+	// told holds what other daemons told of themselves, totals what relays told
+	// of all, and remote what follows from both.
+	told   map[backend.Life]map[string]told
+	totals map[int32]heardTotals
 	remote map[backend.Life]remote
+	// passOn holds the parts that go into the next totals.
+	passOn map[backend.Life][]uint64
+	demand demand
 }
 
 type state struct {
@@ -75,6 +79,8 @@
 	// daemon; fresh holds those of the local daemon that others were not told.
 	parts map[uint64]time.Time
 	fresh []uint64
+	// reported is what other daemons were last told.
+	reported load
 }
 
 // NewTracker returns an empty tracker.
@@ -83,8 +89,10 @@
 		log:     logger,
 		rnd:     rand.New(rand.NewPCG(seed, 0)),
 		servers: map[backend.Life]*state{},
-		told:    map[string]told{},
+		told:    map[backend.Life]map[string]told{},
+		totals:  map[int32]heardTotals{},
 		remote:  map[backend.Life]remote{},
+		passOn:  map[backend.Life][]uint64{},
 	}
 }
 
