Let a few daemons of a domain watch the store for the others

Ruled out: spacing the watches further, which eats into the bound on configurations. Change: in fleets of over 12, three daemons of each failure domain watch; the others ask one of them every 400 ms and read the store themselves if what they know is 1.8 s old.

--- a/entry/modules.go
+++ b/entry/modules.go
@@ -22,6 +22,7 @@
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/policy"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/telemetry"
 	"github.com/jacinththread/jacinththread/upstream"
@@ -59,6 +60,12 @@
 	// reloadInterval is the time between two looks at the settings file, which
 	// may change without a signal.
 	reloadInterval = 2 * time.Second
+	// everyoneWatches is the number of other daemons below which all watch the
+	// store.
+	everyoneWatches = 12
+	// watchersPerDomain is the number of daemons of a failure domain that watch
+	// the store for the others in a large fleet.
+	watchersPerDomain = 3
 	// reservedDescriptors are left for files and links between daemons.
 	reservedDescriptors = 700
 	// bodyShare is the part of the memory that callers' bodies may take.
@@ -174,7 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return mirror.NewExchange(d.copy, node, d.peers, d.log, d.metrics), nil
+	return mirror.NewExchange(d.copy, node, d.peers, d.watchers, d.log, d.metrics), nil
 }
 
 func (d *Daemon) newSharing(r kernel.Registry) (kernel.Service, error) {
@@ -196,6 +203,33 @@
 	return f
 }
 
+// watchers returns the daemons that watch the store: all of a small fleet, and
+// a few of each failure domain of a large one.
+func (d *Daemon) watchers() mirror.Watchers {
+	f := d.fleet()
+	if len(f.Others) < everyoneWatches {
+		return mirror.Watchers{Self: true}
+	}
+	var members []string
+	for _, p := range f.Others {
+		if p.Domain == f.Self.Domain {
+			members = append(members, p.Name)
+		}
+	}
+	members = append(members, f.Self.Name)
+	var w mirror.Watchers
+	for range min(watchersPerDomain, len(members)) {
+		name := policy.Assign(f.Self.Domain, members)
+		members = slices.DeleteFunc(members, func(n string) bool { return n == name })
+		if name == f.Self.Name {
+			w.Self = true
+		} else {
+			w.Others = append(w.Others, name)
+		}
+	}
+	return w
+}
+
 // peers returns the live daemons without the local one.
 func (d *Daemon) peers() []string {
 	names := slices.Clone(d.members.Schedulers())
@@ -203,7 +237,7 @@
 }
 
 func (d *Daemon) newFollower(kernel.Registry) (kernel.Service, error) {
-	return mirror.NewFollower(d.copy, d.adapter.Source, d.log, d.metrics), nil
+	return mirror.NewFollower(d.copy, d.adapter.Source, d.watchers, d.log, d.metrics), nil
 }
 
 func (d *Daemon) newRegistration(kernel.Registry) (kernel.Service, error) {
--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -27,30 +28,24 @@
 	maxAnswerBytes = 16 << 20
 )
 
-// position tells a peer how far the sender's copy goes.
+// position tells a peer how far the sender's copy goes, and asks for the rest.
 type position struct {
 	At uint64
-	// Away is set when the sender does not reach the store.
-	Away bool
 }
 
 // Kind implements peer.Message.
 func (*position) Kind() peer.Kind { return peer.KindMirrorPosition }
 
-// request asks for what changed after a revision.
-type request struct {
-	After uint64
-}
-
-// Kind implements peer.Message.
-func (*request) Kind() peer.Kind { return peer.KindMirrorRequest }
-
-// answer carries changes.
+// answer carries changes, and how current the sender is.
 type answer struct {
 	At uint64
+	// AgeMs is how long ago the sender's copy was current; Away is set when it
+	// does not reach the store.
+	AgeMs int64
+	Away  bool
 	// Complete is set when Packed holds all records.
 	Complete bool
-	// Packed is a compressed list of records.
+	// Packed is a compressed list of records; it is empty if there are none.
 	Packed []byte
 }
 
@@ -59,26 +54,26 @@
 
 // Exchange keeps copies of daemons equal while the store is away for some.
 type Exchange struct {
-	copy   *Copy
-	bus    peer.Bus
-	peers  func() []string
-	log    *log.Logger
-	cancel context.CancelFunc
-	done   chan struct{}
-	served metrics.Counter
-	taken  metrics.Counter
+	copy     *Copy
+	bus      peer.Bus
+	peers    func() []string
+	watchers func() Watchers
+	log      *log.Logger
+	cancel   context.CancelFunc
+	done     chan struct{}
+	served   metrics.Counter
+	taken    metrics.Counter
 }
 
 // NewExchange registers the message handlers. Peers lists the live daemons
 // without the local one.
-func NewExchange(c *Copy, bus peer.Bus, peers func() []string, logger *log.Logger, registry metrics.Registry) *Exchange {
+func NewExchange(c *Copy, bus peer.Bus, peers func() []string, watchers func() Watchers, logger *log.Logger, registry metrics.Registry) *Exchange {
 	x := &Exchange{
-		copy: c, bus: bus, peers: peers, log: logger, done: make(chan struct{}),
+		copy: c, bus: bus, peers: peers, watchers: watchers, log: logger, done: make(chan struct{}),
 		served: metrics.GetOrRegisterCounter("mirror.served_to_peers", registry),
 		taken:  metrics.GetOrRegisterCounter("mirror.taken_from_peers", registry),
 	}
 	bus.Handle(peer.KindMirrorPosition, func() peer.Message { return new(position) }, x.onPosition)
-	bus.Handle(peer.KindMirrorRequest, func() peer.Message { return new(request) }, x.onRequest)
 	bus.Handle(peer.KindMirrorAnswer, func() peer.Message { return new(answer) }, x.onAnswer)
 	return x
 }
@@ -112,17 +107,25 @@
 	}
 }
 
-// round tells a few peers how far the local copy goes. Only a daemon without
-// the store has something to learn, so only such a daemon speaks first.
+// round asks others for what they know. Only a daemon that does not reach the
+// store, or leaves watching it to others, has something to learn.
 func (x *Exchange) round() {
 	status := x.copy.Status()
-	if !status.Away {
+	watchers := x.watchers()
+	if !status.Away && watchers.Self {
 		return
 	}
-	peers := x.peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, name := range peers[:min(exchangeFanout, len(peers))] {
-		x.send(name, &position{At: uint64(status.At), Away: true})
+	ask := x.peers()
+	if !status.Away {
+		ask = slices.Clone(watchers.Others)
+	}
+	rand.Shuffle(len(ask), func(i, j int) { ask[i], ask[j] = ask[j], ask[i] })
+	fanout := exchangeFanout
+	if !status.Away {
+		fanout = 1
+	}
+	for _, name := range ask[:min(fanout, len(ask))] {
+		x.send(name, &position{At: uint64(status.At)})
 	}
 }
 
@@ -132,36 +135,42 @@
 	}
 }
 
-// onPosition answers a peer that is behind, or asks one that is ahead.
+// onPosition tells a peer what it lacks and how current that is.
 func (x *Exchange) onPosition(from string, m peer.Message) {
-	p := m.(*position)
+	after := store.Revision(m.(*position).At)
 	status := x.copy.Status()
-	switch {
-	case p.At < uint64(status.At):
-		x.answer(from, store.Revision(p.At))
-	case p.At > uint64(status.At) && status.Away:
-		x.send(from, &request{After: uint64(status.At)})
-	}
-}
-
-func (x *Exchange) onRequest(from string, m peer.Message) {
-	x.answer(from, store.Revision(m.(*request).After))
-}
-
-func (x *Exchange) answer(to string, after store.Revision) {
-	changes, at, complete := x.copy.Since(after)
-	packed, err := pack(changes)
-	if err != nil {
-		x.log.Error("records were not packed for a peer", "daemon", to, "err", err)
+	if status.At == 0 {
 		return
 	}
-	x.served.Inc(1)
-	x.send(to, &answer{At: uint64(at), Complete: complete, Packed: packed})
+	a := &answer{At: uint64(status.At), AgeMs: time.Since(status.Updated).Milliseconds(), Away: status.Away}
+	if after < status.At {
+		changes, at, complete := x.copy.Since(after)
+		packed, err := pack(changes)
+		if err != nil {
+			x.log.Error("records were not packed for a peer", "daemon", from, "err", err)
+			return
+		}
+		a.At, a.Complete, a.Packed = uint64(at), complete, packed
+		x.served.Inc(1)
+	}
+	x.send(from, a)
 }
 
+// onAnswer takes over what a peer knows beyond the local copy.
 func (x *Exchange) onAnswer(from string, m peer.Message) {
 	a := m.(*answer)
-	if store.Revision(a.At) <= x.copy.Status().At {
+	status := x.copy.Status()
+	now := time.Now()
+	if !status.Away && !x.watchers().Self {
+		x.copy.SetAway(a.Away, now)
+	}
+	asOf := now.Add(-time.Duration(a.AgeMs) * time.Millisecond)
+	at := store.Revision(a.At)
+	if at < status.At {
+		return
+	}
+	if at == status.At {
+		x.copy.Merge(nil, at, asOf)
 		return
 	}
 	records, err := unpack(a.Packed)
@@ -170,12 +179,14 @@
 		return
 	}
 	x.taken.Inc(1)
-	x.log.Info("records taken from a peer", "daemon", from, "revision", a.At, "records", len(records), "complete", a.Complete)
+	if status.Away {
+		x.log.Info("records taken from a peer", "daemon", from, "revision", a.At, "records", len(records), "complete", a.Complete, "age_ms", a.AgeMs)
+	}
 	if a.Complete {
-		x.copy.Replace(records, store.Revision(a.At), time.Now())
+		x.copy.Replace(records, at, asOf)
 		return
 	}
-	x.copy.Merge(records, store.Revision(a.At), time.Now())
+	x.copy.Merge(records, at, asOf)
 }
 
 func pack(records []store.Entry) ([]byte, error) {
--- a/mirror/exchange_test.go
+++ b/mirror/exchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/jacinththread/jacinththread/kernel"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/store"
 )
@@ -18,13 +21,13 @@
 	self     string
 	net      map[string]*loopBus
 	handlers map[peer.Kind]peer.Handler
-	sent     int
+	sent     atomic.Int64
 }
 
 func (b *loopBus) Self() string { return b.self }
 
 func (b *loopBus) Send(to string, m peer.Message) error {
-	b.sent++
+	b.sent.Add(1)
 	go b.net[to].handlers[m.Kind()](b.self, m)
 	return nil
 }
@@ -38,6 +41,7 @@
 		net := map[string]*loopBus{}
 		names := []string{"a", "b", "c", "d"}
 		copies := map[string]*Copy{}
+		var start []*Exchange
 		for _, name := range names {
 			bus := &loopBus{self: name, net: net, handlers: map[peer.Kind]peer.Handler{}}
 			net[name] = bus
@@ -48,7 +52,10 @@
 					others = append(others, n)
 				}
 			}
-			x := NewExchange(copies[name], bus, func() []string { return append([]string(nil), others...) }, quietLog(), metrics.NewRegistry())
+			x := NewExchange(copies[name], bus, func() []string { return append([]string(nil), others...) }, everyoneWatches, quietLog(), metrics.NewRegistry())
+			start = append(start, x)
+		}
+		for _, x := range start {
 			assert.NilError(t, x.Start(t.Context()))
 			defer x.Stop(t.Context())
 		}
@@ -70,9 +77,78 @@
 			time.Sleep(applyBound)
 			assert.Equal(t, copies["a"].Records("config")[0].Revision, rev)
 		}
-		quiet := net["b"].sent
 		copies["a"].SetAway(false, now)
+		time.Sleep(exchangeInterval) // A round may be under way.
+		quiet := net["b"].sent.Load()
 		time.Sleep(time.Minute)
-		assert.Equal(t, net["b"].sent, quiet, "daemons that reach the store exchange nothing")
+		assert.Equal(t, net["b"].sent.Load(), quiet, "daemons that reach the store exchange nothing")
+	})
+}
+
+// TestOnlyWatchersCallTheStore: the others are as current within the bound, and
+// read the store themselves once all watchers are gone.
+func TestOnlyWatchersCallTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := map[string]*loopBus{}
+		names := []string{"w1", "w2", "a", "b", "c", "d"}
+		watchers := map[string][]string{"w1": {"w2"}, "w2": {"w1"}}
+		copies, sources := map[string]*Copy{}, map[string]*fakeSource{}
+		var log history
+		var start []kernel.Service
+		for _, name := range names {
+			bus := &loopBus{self: name, net: net, handlers: map[peer.Kind]peer.Handler{}}
+			net[name] = bus
+			copies[name] = NewCopy(func([]store.Entry) {})
+			sources[name] = &fakeSource{}
+			who := func() Watchers {
+				if others, ok := watchers[name]; ok {
+					return Watchers{Self: true, Others: others}
+				}
+				return Watchers{Others: []string{"w1", "w2"}}
+			}
+			x := NewExchange(copies[name], bus, func() []string {
+				return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+			}, who, quietLog(), metrics.NewRegistry())
+			f := NewFollower(copies[name], sources[name], who, quietLog(), metrics.NewRegistry())
+			start = append(start, x, f)
+		}
+		for _, s := range start {
+			assert.NilError(t, s.Start(t.Context()))
+			defer s.Stop(t.Context())
+		}
+		put := func(value string) {
+			log.put("config", value)
+			for _, src := range sources {
+				src.change(func() { src.h.put("config", value) })
+			}
+		}
+		put("1")
+		time.Sleep(applyBound)
+		before := map[string]int{}
+		for _, name := range names {
+			before[name] = sources[name].called()
+		}
+		const changes = 10
+		for i := range changes {
+			put(fmt.Sprint(i))
+			time.Sleep(applyBound)
+			for _, name := range names {
+				assert.Equal(t, copies[name].Records("config")[0].Revision, log.at(), name)
+			}
+		}
+		for _, name := range names[2:] {
+			calls := sources[name].called() - before[name]
+			assert.Assert(t, calls <= 2, "%s called the store %d times", name, calls)
+		}
+		// The watchers lose the store for good: the others read it themselves.
+		for _, name := range names[:2] {
+			sources[name].change(func() { sources[name].away = true })
+		}
+		time.Sleep(2 * applyBound)
+		put("last")
+		time.Sleep(2 * applyBound)
+		for _, name := range names {
+			assert.Equal(t, copies[name].Records("config")[0].Revision, log.at(), name)
+		}
 	})
 }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -36,26 +36,39 @@
 	retryMax = 500 * time.Millisecond
 	// listTimeout bounds a read of all records.
 	listTimeout = 2500 * time.Millisecond
+	// followStale is how old the copy of a daemon that does not watch may get
+	// before it reads the store itself: two rounds of an exchange, and a watch.
+	followStale = 1800 * time.Millisecond
 	// awayAfter is the number of failed calls in a row after which the store
 	// counts as away: the first failure may be one broken connection.
 	awayAfter = 2
 )
 
+// Watchers tells which daemons watch the store, so that the calls of a large
+// fleet do not grow with it. The others learn from them.
+type Watchers struct {
+	// Self is set if the local daemon is one of them.
+	Self bool
+	// Others are the watchers besides the local daemon.
+	Others []string
+}
+
 // Follower keeps a copy up to date from the store.
 type Follower struct {
-	copy   *Copy
-	source Source
-	log    *log.Logger
-	cancel context.CancelFunc
-	done   chan struct{}
+	copy     *Copy
+	source   Source
+	watchers func() Watchers
+	log      *log.Logger
+	cancel   context.CancelFunc
+	done     chan struct{}
 
 	lists, watches, failures metrics.Counter
 }
 
 // NewFollower returns a follower that has not started.
-func NewFollower(c *Copy, source Source, logger *log.Logger, registry metrics.Registry) *Follower {
+func NewFollower(c *Copy, source Source, watchers func() Watchers, logger *log.Logger, registry metrics.Registry) *Follower {
 	return &Follower{
-		copy: c, source: source, log: logger, done: make(chan struct{}),
+		copy: c, source: source, watchers: watchers, log: logger, done: make(chan struct{}),
 		lists:    metrics.GetOrRegisterCounter("mirror.lists", registry),
 		watches:  metrics.GetOrRegisterCounter("mirror.watches", registry),
 		failures: metrics.GetOrRegisterCounter("mirror.failures", registry),
@@ -81,6 +94,10 @@
 	defer close(f.done)
 	listed, failed := false, 0
 	for ctx.Err() == nil {
+		if f.followsPeers() {
+			sleep(ctx, spacing)
+			continue
+		}
 		var err error
 		if listed {
 			err = f.watch(ctx)
@@ -107,6 +124,12 @@
 	}
 }
 
+// followsPeers reports whether peers keep the copy current enough.
+func (f *Follower) followsPeers() bool {
+	status := f.copy.Status()
+	return status.At > 0 && time.Since(status.Updated) < followStale && !f.watchers().Self
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/mirror/follow_test.go
+++ b/mirror/follow_test.go
@@ -68,6 +68,14 @@
 	do()
 }
 
+func (f *fakeSource) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+func everyoneWatches() Watchers { return Watchers{Self: true} }
+
 func quietLog() *log.Logger { return log.New(io.Discard) }
 
 // applyBound is how soon a change must be in force.
@@ -77,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		src := &fakeSource{}
 		c := NewCopy(func([]store.Entry) {})
-		f := NewFollower(c, src, quietLog(), metrics.NewRegistry())
+		f := NewFollower(c, src, everyoneWatches, quietLog(), metrics.NewRegistry())
 		assert.NilError(t, f.Start(t.Context()))
 		src.change(func() { src.h.put("a", "1") })
 		time.Sleep(applyBound)
@@ -104,16 +112,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		src := &fakeSource{}
 		c := NewCopy(func([]store.Entry) {})
-		f := NewFollower(c, src, quietLog(), metrics.NewRegistry())
+		f := NewFollower(c, src, everyoneWatches, quietLog(), metrics.NewRegistry())
 		assert.NilError(t, f.Start(t.Context()))
 		const seconds, writesPerSecond, callsPerSecond = 20, 50, 4
 		for range seconds * writesPerSecond {
 			src.change(func() { src.h.put("a", "beat") })
 			time.Sleep(time.Second / writesPerSecond)
 		}
-		src.mu.Lock()
-		calls := src.calls
-		src.mu.Unlock()
+		calls := src.called()
 		assert.Assert(t, calls <= seconds*callsPerSecond, "%d calls in %d seconds", calls, seconds)
 		assert.NilError(t, f.Stop(t.Context()))
 	})
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -95,19 +95,27 @@
 	return out
 }
 
-// Merge takes over changes that make the copy complete up to revision at.
-func (c *Copy) Merge(changes []store.Entry, at store.Revision, now time.Time) {
+// Merge takes over changes that make the copy complete up to revision at, as the
+// store was at a time.
+func (c *Copy) Merge(changes []store.Entry, at store.Revision, asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.merge(changes, now)
+	c.merge(changes, asOf)
+	c.advance(at, asOf)
+}
+
+// advance notes how far the copy is complete.
+func (c *Copy) advance(at store.Revision, asOf time.Time) {
 	c.at = max(c.at, at)
-	c.updated = now
-	c.forget(now)
+	if asOf.After(c.updated) {
+		c.updated = asOf
+	}
+	c.forget(asOf)
 }
 
-// Replace takes over all records of the store as of revision at. Records that
-// it lacks were deleted, unless they are newer.
-func (c *Copy) Replace(all []store.Entry, at store.Revision, now time.Time) {
+// Replace takes over all records of the store as of revision at and a time.
+// Records that it lacks were deleted, unless they are newer.
+func (c *Copy) Replace(all []store.Entry, at store.Revision, asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at < c.at {
@@ -123,10 +131,8 @@
 			changes = append(changes, store.Entry{Key: key, Revision: max(e.Revision+1, at), Deleted: true})
 		}
 	}
-	c.merge(changes, now)
-	c.at = at
-	c.updated = now
-	c.forget(now)
+	c.merge(changes, asOf)
+	c.advance(at, asOf)
 }
 
 // merge applies the changes that are newer than what is known.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -38,7 +38,6 @@
 	KindBundleBody    Kind = 50
 
 	KindMirrorPosition Kind = 56
-	KindMirrorRequest  Kind = 57
 	KindMirrorAnswer   Kind = 58
 
 	KindServerLoads  Kind = 60
--- a/placement/sharing.go
+++ b/placement/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/policy"
 )
 
 // Why two ways: a small fleet tells everyone everything, which is quickest. In
@@ -191,13 +193,5 @@
 
 // relayOf returns the daemon that relays a shard in a domain.
 func relayOf(domain string, shard int32, members []string) string {
-	key := mix(xxhash.Sum64String(domain) + uint64(shard))
-	best, bestScore := "", uint64(0)
-	for _, name := range members {
-		score := mix(key ^ xxhash.Sum64String(name))
-		if best == "" || score > bestScore || score == bestScore && name < best {
-			best, bestScore = name, score
-		}
-	}
-	return best
+	return policy.Assign(domain+"/"+strconv.Itoa(int(shard)), members)
 }
