Take out what nothing used and use the backoff that stood idle

Cause: claims.NextStep, membership.LiveInRegion and OnChange had no caller; policy.Backoff was built and not used; three services had the same loop around a ticker. Ruled out: Backoff for requests to servers, which go to another server at once within the budget. Change: the unused code goes with its test; failed reads of the store wait for Backoff, at most 500 ms; kernel.Periodic is the one loop.

--- a/claims/sweep_test.go
+++ b/claims/sweep_test.go
@@ -79,20 +79,3 @@
 	}
 	return "d" + string(rune('0'+sum%4))
 }
-
-func TestNextStepAfterADispatch(t *testing.T) {
-	for _, c := range []struct {
-		result      claims.DispatchResult
-		checksOrder bool
-		resends     int
-		want        claims.Step
-	}{
-		{claims.NotSent, false, 0, claims.StepRelease},
-		{claims.Answered, false, 0, claims.StepFinish},
-		{claims.SentUnanswered, false, 3, claims.StepAbandon},
-		{claims.SentUnanswered, true, 3, claims.StepResend},
-		{claims.SentUnanswered, true, 0, claims.StepAbandon},
-	} {
-		assert.Equal(t, claims.NextStep(c.result, c.checksOrder, c.resends), c.want)
-	}
-}
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -55,11 +54,6 @@
 	forgetAfter = time.Minute
 	// heartbeat is how long a peer link may leave bytes unanswered.
 	heartbeat = 400 * time.Millisecond
-	// upkeepInterval is the time between two rounds of upkeep.
-	upkeepInterval = 250 * time.Millisecond
-	// reloadInterval is the time between two looks at the settings file, which
-	// may change without a signal.
-	reloadInterval = 2 * time.Second
 	// everyoneWatches is the number of other daemons below which all watch the
 	// store.
 	everyoneWatches = 12
@@ -310,57 +304,3 @@
 	l := t.Limits()
 	return ingress.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
-
-// upkeep does what has to be done now and then.
-type upkeep struct {
-	d      *Daemon
-	cancel context.CancelFunc
-	done   chan struct{}
-	// reload is when the settings are read again.
-	reload time.Time
-}
-
-func (d *Daemon) newUpkeep(kernel.Registry) (kernel.Service, error) {
-	return &upkeep{d: d, done: make(chan struct{})}, nil
-}
-
-// Start implements kernel.Service.
-func (u *upkeep) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	u.cancel = cancel
-	go u.run(ctx)
-	return nil
-}
-
-// Stop implements kernel.Service.
-func (u *upkeep) Stop(context.Context) error {
-	u.cancel()
-	<-u.done
-	return nil
-}
-
-func (u *upkeep) run(ctx context.Context) {
-	defer close(u.done)
-	tick := time.NewTicker(upkeepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			u.round(time.Now())
-		}
-	}
-}
-
-func (u *upkeep) round(now time.Time) {
-	d := u.d
-	d.catalog.SetStoreAway(d.copy.Status().Away, now)
-	d.catalog.Settle(now)
-	d.pool.Sweep(d.catalog.Usable)
-	d.tracker.Forget(d.catalog.Known)
-	if !now.Before(u.reload) {
-		u.reload = now.Add(reloadInterval)
-		d.reload(false)
-	}
-}
--- a/membership/service.go
+++ b/membership/service.go
@@ -32,7 +32,6 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
-	notify  chan struct{}
 
 	load          atomic.Uint32
 	bundleVersion atomic.Uint64
@@ -58,7 +57,6 @@
 	urgent        []key
 	urgentPending bool
 	changed       chan struct{}
-	onChange      []func()
 
 	daemonsChanged bool
 	serversChanged bool
@@ -88,7 +86,6 @@
 		metrics: newServiceMetrics(cfg.Metrics),
 		ctx:     ctx,
 		cancel:  cancel,
-		notify:  make(chan struct{}, 1),
 		rng:     rand.New(rand.NewPCG(seed, xxhash.Sum64String(cfg.Self.Name))),
 		self: record{
 			Name: cfg.Self.Name, Incarnation: cfg.Self.Incarnation, State: Alive,
@@ -132,7 +129,6 @@
 	s.mu.Unlock()
 	s.done.Go(s.run)
 	s.done.Go(s.pollLoop)
-	s.done.Go(s.notifyLoop)
 	return nil
 }
 
@@ -172,30 +168,6 @@
 // SetBundleVersion sets the bundle version in force on the local daemon.
 func (s *Service) SetBundleVersion(v uint64) { s.bundleVersion.Store(v) }
 
-// OnChange registers a callback that is called after changes, on a goroutine of
-// the service. Changes in quick succession share one call.
-func (s *Service) OnChange(f func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.onChange = append(s.onChange, f)
-}
-
-func (s *Service) notifyLoop() {
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-s.notify:
-		}
-		s.mu.Lock()
-		callbacks := s.onChange
-		s.mu.Unlock()
-		for _, f := range callbacks {
-			f()
-		}
-	}
-}
-
 // update changes the state under the lock and publishes what changed.
 func (s *Service) update(change func()) {
 	s.mu.Lock()
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -35,10 +35,6 @@
 	s.daemonsChanged, s.serversChanged = false, false
 	close(s.changed)
 	s.changed = make(chan struct{})
-	select {
-	case s.notify <- struct{}{}:
-	default:
-	}
 }
 
 // publishDaemons copies the daemons for readers.
@@ -117,18 +113,6 @@
 // Schedulers implements View.
 func (s *Service) Schedulers() []string { return s.daemonSnap.Load().schedulers }
 
-// LiveInRegion returns the daemons of a region that are Alive or Suspect, self
-// included, sorted by name.
-func (s *Service) LiveInRegion(region string) []Daemon {
-	var out []Daemon
-	for _, d := range s.Daemons() {
-		if d.Region == region && (d.State == Alive || d.State == Suspect) {
-			out = append(out, d)
-		}
-	}
-	return out
-}
-
 // Servers implements View.
 func (s *Service) Servers(service string) []Server { return s.serverSnap.Load().byService[service] }
 
--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/jacinththread/jacinththread/kernel"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/store"
 )
@@ -54,13 +54,12 @@
 
 // Exchange keeps copies of daemons equal while the store is away for some.
 type Exchange struct {
+	*kernel.Periodic
 	copy     *Copy
 	bus      peer.Bus
 	peers    func() []string
 	watchers func() Watchers
 	log      *log.Logger
-	cancel   context.CancelFunc
-	done     chan struct{}
 	served   metrics.Counter
 	taken    metrics.Counter
 }
@@ -69,44 +68,16 @@
 // without the local one.
 func NewExchange(c *Copy, bus peer.Bus, peers func() []string, watchers func() Watchers, logger *log.Logger, registry metrics.Registry) *Exchange {
 	x := &Exchange{
-		copy: c, bus: bus, peers: peers, watchers: watchers, log: logger, done: make(chan struct{}),
+		copy: c, bus: bus, peers: peers, watchers: watchers, log: logger,
 		served: metrics.GetOrRegisterCounter("mirror.served_to_peers", registry),
 		taken:  metrics.GetOrRegisterCounter("mirror.taken_from_peers", registry),
 	}
+	x.Periodic = kernel.NewPeriodic(exchangeInterval, func(time.Time) { x.round() })
 	bus.Handle(peer.KindMirrorPosition, func() peer.Message { return new(position) }, x.onPosition)
 	bus.Handle(peer.KindMirrorAnswer, func() peer.Message { return new(answer) }, x.onAnswer)
 	return x
 }
 
-// Start implements kernel.Service.
-func (x *Exchange) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	x.cancel = cancel
-	go x.run(ctx)
-	return nil
-}
-
-// Stop implements kernel.Service.
-func (x *Exchange) Stop(context.Context) error {
-	x.cancel()
-	<-x.done
-	return nil
-}
-
-func (x *Exchange) run(ctx context.Context) {
-	defer close(x.done)
-	tick := time.NewTicker(exchangeInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			x.round()
-		}
-	}
-}
-
 // round asks others for what they know. Only a daemon that does not reach the
 // store, or leaves watching it to others, has something to learn.
 func (x *Exchange) round() {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/jacinththread/jacinththread/policy"
 	"github.com/jacinththread/jacinththread/store"
 )
 
@@ -31,8 +32,8 @@
 	// heartbeat, so a watch without a pause would return for each of them; the
 	// pause bounds the calls of a daemon at about three a second.
 	spacing = 300 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call.
-	retryMin = 100 * time.Millisecond
+	// retryMax bounds the pause after a failed call, so that the store's return
+	// is noticed soon.
 	retryMax = 500 * time.Millisecond
 	// listTimeout bounds a read of all records.
 	listTimeout = 2500 * time.Millisecond
@@ -92,6 +93,7 @@
 
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), 0))
 	listed, failed := false, 0
 	for ctx.Err() == nil {
 		if f.followsPeers() {
@@ -115,7 +117,7 @@
 		if err != nil {
 			failed++
 			f.fail(err, failed)
-			sleep(ctx, retryMin+rand.N(retryMax-retryMin))
+			sleep(ctx, min(retryMax, policy.Backoff(failed, rnd)))
 			continue
 		}
 		listed, failed = true, 0
