--- /dev/null
+++ b/entry/records_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"strconv"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/route"
+	"github.com/jacinththread/jacinththread/store"
+)
+
+// plainDecoder reads a version, or the service of a server.
+type plainDecoder struct{}
+
+var errUnreadable = errors.New("value is unreadable")
+
+func (plainDecoder) Config(e store.Entry) (*route.Config, error) {
+	v, err := strconv.Atoi(string(e.Value))
+	if err != nil {
+		return nil, errUnreadable
+	}
+	return &route.Config{Version: route.Version(v)}, nil
+}
+
+func (plainDecoder) Server(id string, e store.Entry) (backend.Server, error) {
+	if len(e.Value) == 0 {
+		return backend.Server{}, errUnreadable
+	}
+	return backend.Server{ID: id, Service: string(e.Value)}, nil
+}
+
+func newRecords() *records {
+	logger := log.New(io.Discard)
+	return &records{decoder: plainDecoder{}, catalog: backend.NewCatalog(logger), inForce: func(route.Version) {}, log: logger}
+}
+
+func config(version string, revision store.Revision) store.Entry {
+	return store.Entry{Key: ConfigKey, Value: []byte(version), Revision: revision}
+}
+
+// TestConfigurationsOnlyGoUp: neither an older version, nor one that can't be
+// read, nor a deletion changes what is in force.
+func TestConfigurationsOnlyGoUp(t *testing.T) {
+	r := newRecords()
+	assert.Assert(t, r.Table() == nil)
+	for _, c := range []struct {
+		entry store.Entry
+		want  route.Version
+	}{
+		{config("5", 1), 5},
+		{config("3", 2), 5},
+		{config("5", 3), 5},
+		{config("nonsense", 4), 5},
+		{store.Entry{Key: ConfigKey, Revision: 5, Deleted: true}, 5},
+		{config("20", 6), 20},
+		{config("7", 7), 20},
+	} {
+		r.apply([]store.Entry{c.entry})
+		assert.Equal(t, r.Table().Version(), c.want)
+	}
+}
+
+func TestServerRecordsThatCannotBeReadNameNoServer(t *testing.T) {
+	r := newRecords()
+	server := func(value string) []store.Entry {
+		return []store.Entry{{Key: ServersPrefix + "a", Value: []byte(value), Revision: 1}}
+	}
+	r.apply(server("s"))
+	assert.Equal(t, len(r.catalog.Ready("s")), 1)
+	r.apply(server(""))
+	assert.Equal(t, len(r.catalog.Ready("s")), 0)
+	r.apply([]store.Entry{{Key: "other", Value: []byte("x")}})
+}
+
+func daemons(states ...membership.DaemonState) []membership.Daemon {
+	var out []membership.Daemon
+	for i, s := range states {
+		out = append(out, membership.Daemon{CallerAddr: strconv.Itoa(i), State: s, BundleVersion: 1})
+	}
+	return out
+}
+
+func TestDirectoryListsWhoServes(t *testing.T) {
+	const alive, suspect, leaving = membership.Alive, membership.Suspect, membership.Leaving
+	assert.DeepEqual(t, callerAddresses(daemons(alive, suspect, leaving, alive)), []string{"0", "3"})
+	assert.DeepEqual(t, callerAddresses(daemons(suspect, suspect, alive)), []string{"2", "0", "1"}) // The fault is likely local.
+	noConfig := daemons(alive, alive)
+	noConfig[0].BundleVersion = 0
+	assert.DeepEqual(t, callerAddresses(noConfig), []string{"1"})
+	var many []membership.DaemonState
+	for range 3 * maxAddresses {
+		many = append(many, alive)
+	}
+	assert.Equal(t, len(callerAddresses(daemons(many...))), maxAddresses)
+}
