--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -92,7 +92,6 @@
 	assert.Equal(t, allowed, int(safety*limit.Allowance/7))
 }
 
-
 func TestLimitChangesWhileRunning(t *testing.T) {
 	b := New(limit, func() int { return 1 })
 	b.SetLimit(Limit{Ratio: 0, Allowance: 0, Window: time.Second})
