Begin no request on a connection that a planned stop is closing

The goroutine of an idle connection had been woken with the request's bytes, but had not marked itself busy when the stop closed the idle connections, saw no request in progress and ended the process. Change: a connection goes from idle to busy or to closing by compare-and-swap, and no request begins on one that is closing.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -45,18 +45,36 @@
 	nc     net.Conn
 	br     *bufio.Reader
 	// idleSince is when the connection began to wait for a request, in
-	// nanoseconds; zero while a request is in progress.
+	// nanoseconds; zero while a request is in progress, and closing once no
+	// request may begin.
 	idleSince atomic.Int64
 }
 
+// closing marks a connection that is closed while idle.
+const closing = -1
+
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
 	c.idleSince.Store(time.Now().UnixNano())
 	return c
 }
 
-// closeIdle closes the connection unless a request has begun meanwhile.
-func (c *conn) closeIdle() { c.nc.SetReadDeadline(time.Unix(1, 0)) }
+// closeIdle closes the connection unless a request has begun, and reports
+// whether it did. Bytes may have been read already; no request begins with them.
+func (c *conn) closeIdle() bool {
+	since := c.idleSince.Load()
+	if since <= 0 || !c.idleSince.CompareAndSwap(since, closing) {
+		return false
+	}
+	c.nc.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// begin marks that a request has begun, unless the connection is being closed.
+func (c *conn) begin() bool {
+	since := c.idleSince.Load()
+	return since != closing && c.idleSince.CompareAndSwap(since, 0)
+}
 
 // serve handles the requests of the connection one after the other.
 func (c *conn) serve() {
@@ -92,17 +110,17 @@
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(limits Limits) bool {
 	if c.br.Buffered() > 0 {
-		c.idleSince.Store(0)
 		return true
 	}
-	c.idleSince.Store(time.Now().UnixNano())
+	c.idleSince.CompareAndSwap(0, time.Now().UnixNano())
 	c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	if c.server.closed.Load() {
 		return false
 	}
-	_, err := c.br.Peek(1)
-	c.idleSince.Store(0)
-	return err == nil
+	if _, err := c.br.Peek(1); err != nil {
+		return false
+	}
+	return c.begin()
 }
 
 // statusError is a request that gets a status without being handled.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -149,14 +149,13 @@
 func (s *Server) closeIdlest() bool {
 	var oldest *conn
 	for c := range s.conns {
-		if since := c.idleSince.Load(); since != 0 && (oldest == nil || since < oldest.idleSince.Load()) {
+		if since := c.idleSince.Load(); since > 0 && (oldest == nil || since < oldest.idleSince.Load()) {
 			oldest = c
 		}
 	}
-	if oldest == nil {
+	if oldest == nil || !oldest.closeIdle() {
 		return false
 	}
-	oldest.nc.Close()
 	delete(s.conns, oldest)
 	return true
 }
@@ -191,9 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idleSince.Load() != 0 {
-			c.closeIdle()
-		}
+		c.closeIdle()
 	}
 }
 
