--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -35,8 +35,6 @@
 	Chunked bool
 	// Arrived is when the first byte of the request was read.
 	Arrived time.Time
-	// HasBody is set if the request stated a body, also an empty one.
-	HasBody bool
 }
 
 // conn is a caller's connection.
@@ -208,7 +206,6 @@
 	r := &Request{
 		Method: head.Method, Target: head.RequestURI, Path: pathOf(head.RequestURI), Host: head.Host,
 		Header: head.Header, Chunked: len(head.TransferEncoding) > 0, Arrived: arrived,
-		HasBody: head.ContentLength != 0,
 	}
 	if head.ContentLength > int64(limits.BodyBytes) {
 		return nil, tooLarge(limits)
