Hold both store adapters to one contract

Cause: the adapter of the platform's store returned bare transport errors (refused connection, broken or malformed answer, a status of something in between), where package store promises ErrUnavailable or ErrOutcomeUnknown. No caller told them apart yet, so nothing went wrong by it.

Ruled out: one fixture for each adapter with checks of its own; the promises are the same and would drift.

Change: TestStoreContract runs eight checks over both adapters, each against its stand-in behind a point of faults. The call itself and the two kinds of error move to store/httpcall, which both adapters use.

Conclusion: a read without a usable reply is never an empty store, on both.

--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -6,16 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/jacinththread/jacinththread/store"
+	"github.com/jacinththread/jacinththread/store/httpcall"
 )
 
 // Error codes of the protocol.
@@ -42,12 +40,8 @@
 	return strconv.Quote(strconv.FormatUint(uint64(rev), 10))
 }
 
-// reply is a reply read to its end.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
-}
+// reply is a reply of the protocol.
+type reply struct{ httpcall.Reply }
 
 // protocolError is a refusal by the store.
 type protocolError struct {
@@ -57,16 +51,12 @@
 	} `json:"error"`
 }
 
-// call sends a request and reads the whole reply. The flag reports whether a
-// connection was obtained, so that the request may have reached the store.
+// call sends a request and reads the whole reply. The flag reports whether the
+// request may have reached the store.
 func (c *Client) call(ctx context.Context, method string, u *url.URL, cond condition, body []byte) (r reply, sent bool, err error) {
 	c.calls.Inc(1)
 	start := time.Now()
 	defer func() { c.latency.UpdateSince(start) }()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	req, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(body))
 	if err != nil {
 		return reply{}, false, err
@@ -74,16 +64,8 @@
 	if cond.header != "" {
 		req.Header.Set(cond.header, cond.value)
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return reply{}, connected.Load(), err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-	if err != nil {
-		return reply{}, true, err
-	}
-	return reply{status: resp.StatusCode, header: resp.Header, body: data}, true, nil
+	got, sent, err := httpcall.Do(c.http, req, maxReplyBytes)
+	return reply{got}, sent, err
 }
 
 // read sends a GET. Every failure to get an answer is ErrUnavailable.
@@ -96,16 +78,16 @@
 	r, _, err := c.call(ctx, http.MethodGet, u, cond, nil)
 	if err != nil {
 		c.failures.Inc(1)
-		return reply{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+		return reply{}, httpcall.ReadError(err)
 	}
-	if r.status == http.StatusOK || r.status == http.StatusNotModified {
+	if r.Status == http.StatusOK || r.Status == http.StatusNotModified {
 		return r, nil
 	}
 	if err := r.refusal(); err != nil && !errors.Is(err, store.ErrUnavailable) {
 		return reply{}, err
 	}
 	c.failures.Inc(1)
-	return reply{}, fmt.Errorf("%w: unexpected status %d", store.ErrUnavailable, r.status)
+	return reply{}, httpcall.ReadError(fmt.Errorf("unexpected status %d", r.Status))
 }
 
 func readJSON[T any](ctx context.Context, c *Client, u *url.URL) (T, error) {
@@ -114,9 +96,9 @@
 	if err != nil {
 		return v, err
 	}
-	if err := json.Unmarshal(r.body, &v); err != nil {
+	if err := json.Unmarshal(r.Body, &v); err != nil {
 		c.failures.Inc(1)
-		return v, fmt.Errorf("%w: malformed reply: %w", store.ErrUnavailable, err)
+		return v, httpcall.ReadError(fmt.Errorf("malformed reply: %w", err))
 	}
 	return v, nil
 }
@@ -131,12 +113,12 @@
 	r, sent, err := c.call(ctx, method, c.keyURL(key), cond, value)
 	if err != nil && !sent {
 		c.failures.Inc(1)
-		return 0, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+		return 0, httpcall.WriteError(sent, err)
 	}
 	if err != nil {
 		return 0, c.unknown(err)
 	}
-	if r.status == http.StatusOK || r.status == http.StatusCreated {
+	if r.Status == http.StatusOK || r.Status == http.StatusCreated {
 		rev, err := r.revision()
 		if err != nil {
 			return 0, c.unknown(err)
@@ -146,12 +128,12 @@
 	if err := r.refusal(); err != nil {
 		return 0, err
 	}
-	return 0, c.unknown(fmt.Errorf("unexpected status %d", r.status))
+	return 0, c.unknown(fmt.Errorf("unexpected status %d", r.Status))
 }
 
 func (c *Client) unknown(cause error) error {
 	c.unknowns.Inc(1)
-	return fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, cause)
+	return httpcall.WriteError(true, cause)
 }
 
 // refusal returns the error of a reply that follows the protocol, else nil. A
@@ -159,24 +141,24 @@
 // and proves nothing about the write.
 func (r reply) refusal() error {
 	var e protocolError
-	if json.Unmarshal(r.body, &e) != nil {
+	if json.Unmarshal(r.Body, &e) != nil {
 		return nil
 	}
 	switch {
-	case r.status == http.StatusNotFound && e.Error.Code == codeNotFound:
+	case r.Status == http.StatusNotFound && e.Error.Code == codeNotFound:
 		return store.ErrNotFound
-	case r.status == http.StatusPreconditionFailed && e.Error.Code == codeConflict:
+	case r.Status == http.StatusPreconditionFailed && e.Error.Code == codeConflict:
 		return store.ErrConflict
-	case r.status == http.StatusServiceUnavailable && e.Error.Code == codeUnavailable:
+	case r.Status == http.StatusServiceUnavailable && e.Error.Code == codeUnavailable:
 		return store.ErrUnavailable
-	case r.status == http.StatusRequestEntityTooLarge && e.Error.Code == codeTooLarge:
+	case r.Status == http.StatusRequestEntityTooLarge && e.Error.Code == codeTooLarge:
 		return store.ErrTooLarge
 	}
 	return nil
 }
 
 func (r reply) revision() (store.Revision, error) {
-	n, err := strconv.ParseUint(strings.Trim(r.header.Get("ETag"), `"`), 10, 64)
+	n, err := strconv.ParseUint(strings.Trim(r.Header.Get("ETag"), `"`), 10, 64)
 	if err != nil {
 		return 0, fmt.Errorf("reply has no revision: %w", err)
 	}
@@ -186,8 +168,8 @@
 func (r reply) entry(key string) (store.Entry, error) {
 	rev, err := r.revision()
 	if err != nil {
-		return store.Entry{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+		return store.Entry{}, httpcall.ReadError(err)
 	}
-	deleted := r.header.Get(deletedHeader) != ""
-	return store.Entry{Key: key, Value: r.body, Revision: rev, Deleted: deleted}, nil
+	deleted := r.Header.Get(deletedHeader) != ""
+	return store.Entry{Key: key, Value: r.Body, Revision: rev, Deleted: deleted}, nil
 }
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return store.Entry{}, false, err
 	}
-	if r.status == http.StatusNotModified {
+	if r.Status == http.StatusNotModified {
 		return store.Entry{}, false, nil
 	}
 	e, err := r.entry(key)
--- a/store/httpstore/hosts.go
+++ b/store/httpstore/hosts.go
@@ -33,12 +33,12 @@
 func (h *hostsCache) update(r reply) ([]store.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r.status != http.StatusNotModified {
+	if r.Status != http.StatusNotModified {
 		var hosts []store.Host
-		if err := json.Unmarshal(r.body, &hosts); err != nil {
+		if err := json.Unmarshal(r.Body, &hosts); err != nil {
 			return nil, fmt.Errorf("%w: malformed reply: %w", store.ErrUnavailable, err)
 		}
-		h.tag, h.hosts = r.header.Get("ETag"), hosts
+		h.tag, h.hosts = r.Header.Get("ETag"), hosts
 	}
 	return slices.Clone(h.hosts), nil
 }
