Create a span for each hop of the entry daemon and keep all figures on one page

Cause: the entry daemon logged each hop but created no spans, so a caller's trace ended at it. The figures of the platform stood beside the generated page.

Ruled out: spans for reading the head and for placing; both take microseconds and the request's line has their inputs.

The page of measurements takes over measure/platform.md, which a test compares.

Before: no span, a sampled traceparent reached servers unchanged.

Conclusion: a trace goes from the caller through each attempt to the server.

--- a/cmd/jacinththread-entry/main.go
+++ b/cmd/jacinththread-entry/main.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rcrowley/go-metrics"
@@ -24,11 +26,18 @@
 )
 
 type options struct {
-	Settings    string `long:"settings" env:"JACINTHTHREAD_NODE_FILE" description:"settings file of the platform"`
-	MetricsPort string `long:"metrics-port" description:"port that serves metrics; none if empty"`
-	LogLevel    string `long:"log-level" default:"info" description:"least level that is logged"`
+	Settings    string  `long:"settings" env:"JACINTHTHREAD_NODE_FILE" description:"settings file of the platform"`
+	MetricsPort string  `long:"metrics-port" description:"port that serves metrics; none if empty"`
+	LogLevel    string  `long:"log-level" default:"info" description:"least level that is logged"`
+	OTLPURL     string  `long:"otlp-url" description:"endpoint that takes spans as OTLP over HTTP; none if empty"`
+	SpanRatio   float64 `long:"span-ratio" default:"0.01" description:"share of requests traced besides those that the caller traces, 0 to 1"`
 }
 
+// flushTimeout bounds the export of the last spans at the end of the program.
+const flushTimeout = 300 * time.Millisecond
+
+const programName = "jacinththread-entry"
+
 func main() {
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
@@ -53,12 +62,20 @@
 	registry := metrics.NewRegistry()
 	out := telemetry.NewAsyncWriter(os.Stdout, registry)
 	defer out.Close()
-	logger, err := telemetry.NewLogger(out, settings.Telemetry{LogLevel: o.LogLevel, LogFormat: "json"}, s.Name)
+	t := settings.Telemetry{LogLevel: o.LogLevel, LogFormat: "json", OTLPURL: o.OTLPURL, SampleRatio: o.SpanRatio}
+	logger, err := telemetry.NewLogger(out, t, s.Name)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	tracing, err := telemetry.NewTracing(context.Background(), t, programName, s.Name)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if err := entry.New(s, adapter(o.Settings, storeAddr, registry), logger, registry).Run(); err != nil {
+	defer tracing.Flush(flushTimeout, logger)
+	instruments := entry.Instruments{Log: logger, Metrics: registry, Tracer: tracing.Tracer}
+	if err := entry.New(s, adapter(o.Settings, storeAddr, registry), instruments).Run(); err != nil {
 		logger.Error("daemon failed", "err", err)
 		return exitFailed
 	}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -28,6 +28,9 @@
 	exitSettings = 3
 )
 
+// programName names the program to its users.
+const programName = "jacinththreadd"
+
 const (
 	startTimeout = 30 * time.Second
 	flushTimeout = 5 * time.Second
@@ -42,14 +45,14 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o options
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "jacinththreadd"
+	parser.Name = programName
 	if _, err := parser.ParseArgs(args); err != nil {
 		var usage *flags.Error
 		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
 			fmt.Fprintln(stdout, err)
 			return exitOK
 		}
-		fmt.Fprintln(stderr, "jacinththreadd:", err)
+		fmt.Fprintln(stderr, programName+":", err)
 		return exitUsage
 	}
 	s, err := settings.Load(o.Settings)
@@ -76,17 +79,11 @@
 // run starts the services, waits for a signal and stops them. The first signal
 // asks for a planned stop; the second, or the configured bound, cuts it short.
 func run(s *settings.Settings, logger *log.Logger) error {
-	tracing, err := telemetry.NewTracing(context.Background(), s.Telemetry, s.Name)
+	tracing, err := telemetry.NewTracing(context.Background(), s.Telemetry, programName, s.Name)
 	if err != nil {
 		return err
 	}
-	defer func() {
-		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
-		defer cancel()
-		if err := tracing.Shutdown(ctx); err != nil {
-			logger.Warn("spans were not exported", "err", err)
-		}
-	}()
+	defer tracing.Flush(flushTimeout, logger)
 	k, err := kernel.New(logger, Modules(s, logger, tracing.Tracer)...)
 	if err != nil {
 		return err
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -23,7 +23,7 @@
 		Directory: "127.0.0.1:0", Descriptors: 4000, MemoryBytes: 1 << 28, Grace: time.Second,
 	}
 	s.Budget.Window = 10 * time.Second
-	return New(s, Adapter{DirectoryPath: "/d", ReadyPath: "/r"}, log.New(io.Discard), registry)
+	return New(s, Adapter{DirectoryPath: "/d", ReadyPath: "/r"}, Instruments{Log: log.New(io.Discard), Metrics: registry})
 }
 
 // metricRow finds the name of a metric in a row of its page.
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
@@ -78,6 +79,7 @@
 	adapter Adapter
 	log     *log.Logger
 	metrics metrics.Registry
+	tracer  trace.Tracer
 
 	copy    *mirror.Copy
 	records *records
@@ -91,15 +93,22 @@
 	leaving atomic.Bool
 }
 
+// Instruments are what the daemon reports to.
+type Instruments struct {
+	Log     *log.Logger
+	Metrics metrics.Registry
+	Tracer  trace.Tracer
+}
+
 // New returns a daemon that was not started.
-func New(s *Settings, a Adapter, logger *log.Logger, registry metrics.Registry) *Daemon {
-	d := &Daemon{settings: s, adapter: a, log: logger, metrics: registry}
+func New(s *Settings, a Adapter, i Instruments) *Daemon {
+	d := &Daemon{settings: s, adapter: a, log: i.Log, metrics: i.Metrics, tracer: i.Tracer}
 	d.current.Store(s)
-	d.catalog = backend.NewCatalog(logger)
-	d.records = &records{decoder: a.Decoder, catalog: d.catalog, inForce: d.configInForce, log: logger}
+	d.catalog = backend.NewCatalog(d.log)
+	d.records = &records{decoder: a.Decoder, catalog: d.catalog, inForce: d.configInForce, log: d.log}
 	d.copy = mirror.NewCopy(d.records.apply)
-	d.pool = upstream.NewPool(registry)
-	d.tracker = placement.NewTracker(rand.Uint64(), logger)
+	d.pool = upstream.NewPool(d.metrics)
+	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
 	d.budget = budget.New(s.Budget, d.daemonCount)
 	return d
 }
@@ -279,7 +288,7 @@
 func (d *Daemon) newCallers(kernel.Registry) (kernel.Service, error) {
 	f := forward.New(forward.Config{
 		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget,
-		Dialect: d.adapter.Dialect, Domain: d.settings.Domain, Knowledge: d.knowledge, Log: d.log, Metrics: d.metrics,
+		Dialect: d.adapter.Dialect, Domain: d.settings.Domain, Knowledge: d.knowledge, Log: d.log, Metrics: d.metrics, Tracer: d.tracer,
 	})
 	d.callers = ingress.New(ingress.Config{
 		Addr: d.settings.Callers, Handler: f.Serve, Limits: d.limits,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
@@ -46,22 +49,29 @@
 
 // run sends the request to servers until it is answered or given up.
 func (q *request) run(ctx context.Context) {
-	for {
-		t, ok := q.attempt(ctx)
-		if !ok {
-			return
-		}
-		if t.answer != nil {
-			if again := q.relay(ctx, t); !again {
-				return
-			}
-			continue
-		}
-		if !q.mayRepeat(ctx, t) {
-			q.giveUp(ctx, t)
-			return
-		}
+	for q.tryOne(ctx) {
+	}
+}
+
+// tryOne sends the request to one server and passes its answer on. It reports
+// true if the request is to be sent to another server.
+func (q *request) tryOne(ctx context.Context) (again bool) {
+	ctx, span := q.startAttemptSpan(ctx)
+	defer span.End()
+	t, ok := q.attempt(ctx)
+	if !ok {
+		return false
+	}
+	span.SetAttributes(attribute.String("server", q.last.ID))
+	if t.answer != nil {
+		return q.relay(ctx, t)
 	}
+	span.SetStatus(codes.Error, t.err.Error())
+	if q.mayRepeat(ctx, t) {
+		return true
+	}
+	q.giveUp(ctx, t)
+	return false
 }
 
 // attempt places the request and sends it to one server. It reports false after
@@ -145,7 +155,7 @@
 	}
 	q.sends++
 	q.sent = time.Now()
-	answer, err := q.cfg.Pool.Do(ctx, conn, q.outgoing(flight.Server, wait), q.silence())
+	answer, err := q.cfg.Pool.Do(ctx, conn, q.outgoing(ctx, flight.Server, wait), q.silence())
 	if err != nil {
 		return q.failed(ctx, flight, err)
 	}
@@ -156,15 +166,16 @@
 }
 
 // outgoing builds the request for a server.
-func (q *request) outgoing(s *backend.Server, wait time.Duration) *upstream.Request {
+func (q *request) outgoing(ctx context.Context, s *backend.Server, wait time.Duration) *upstream.Request {
 	id := q.meta.ID
+	header := q.cfg.Dialect.Outgoing(withoutHopByHop(q.in.Header), Sending{
+		Wait: wait, Server: s.ID, Customer: q.customer,
+		Urgency: min(max(q.urgency, 0), maxUrgency), LastEvent: q.stream.resumePoint(),
+	})
+	handOnTrace(ctx, header)
 	return &upstream.Request{
 		Method: q.in.Method, Target: q.in.Target, Host: q.in.Host,
-		Header: q.cfg.Dialect.Outgoing(withoutHopByHop(q.in.Header), Sending{
-			Wait: wait, Server: s.ID, Customer: q.customer,
-			Urgency: min(max(q.urgency, 0), maxUrgency), LastEvent: q.stream.resumePoint(),
-		}),
-		Body: q.in.Body, Chunked: q.in.Chunked,
+		Header: header, Body: q.in.Body, Chunked: q.in.Chunked,
 		Owns: func(h http.Header) bool { return q.cfg.Dialect.Owns(h, id) },
 	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
@@ -87,6 +88,9 @@
 	Knowledge func() (revision int64, age time.Duration)
 	Log       *log.Logger
 	Metrics   metrics.Registry
+	// Tracer creates a span for each request and one for each server that is
+	// tried.
+	Tracer trace.Tracer
 }
 
 // Forwarder handles requests of callers.
@@ -124,6 +128,8 @@
 // Serve implements ingress.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *ingress.Request, w *ingress.Writer) {
 	q := &request{Forwarder: f, in: r, w: w, meta: f.cfg.Dialect.Meta(r.Header)}
+	ctx, q.span = f.startSpan(ctx, q)
+	defer q.span.End()
 	q.table = f.cfg.Table()
 	if !q.admit() {
 		q.report()
@@ -142,6 +148,7 @@
 	w     *ingress.Writer
 	meta  Meta
 	table *route.Table
+	span  trace.Span
 
 	route    *route.Route
 	service  string
@@ -246,6 +253,7 @@
 	if q.last != nil {
 		server = q.last.ID
 	}
+	q.describeSpan(name, server)
 	revision, age := q.cfg.Knowledge()
 	q.cfg.Log.Info("request done", "request_id", q.meta.ID, "route", name, "customer", q.customer,
 		"service", q.service, "outcome", q.outcome, "status", q.status, "reason", q.reason,
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/backend"
@@ -65,6 +67,8 @@
 	key      string
 	last     string
 	wait     int
+	// trace is the trace context that the server got.
+	trace string
 }
 
 // deployment is a forwarder between a caller and fake servers.
@@ -75,6 +79,7 @@
 	table   *route.Table
 	ingress *ingress.Server
 	limit   budget.Limit
+	tracer  trace.Tracer
 
 	mu   sync.Mutex
 	runs []run
@@ -88,7 +93,7 @@
 
 func newDeployment(t *testing.T, routes ...route.Route) *deployment {
 	t.Helper()
-	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}}
+	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer("")}
 	d.catalog = backend.NewCatalog(log.New(io.Discard))
 	d.catalog.SetStoreAway(false, time.Now().Add(-time.Hour))
 	for i := range routes {
@@ -107,7 +112,7 @@
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
 		Knowledge: func() (int64, time.Duration) { return 1, time.Second },
 		Tracker:   placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
-		Dialect: testDialect{}, Log: log.New(io.Discard), Metrics: registry,
+		Dialect: testDialect{}, Log: log.New(io.Discard), Metrics: registry, Tracer: d.tracer,
 	})
 	d.ingress = ingress.New(ingress.Config{
 		Addr: "127.0.0.1:0", Handler: f.Serve, Limits: func() ingress.Limits { return ingress.Limits{} },
@@ -152,6 +157,7 @@
 		if !f(d, c, r, run{
 			server: id, id: req.Header.Get("Id"), customer: req.Header.Get("Customer"),
 			key: req.Header.Get("Key"), last: req.Header.Get("Last"), wait: wait,
+			trace: req.Header.Get("Traceparent"),
 		}) {
 			return
 		}
--- /dev/null
+++ b/forward/spans_test.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/route"
+)
+
+const callersTrace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+// TestEachHopHasASpan: the request's span belongs to the caller's trace, each
+// server that was tried has one below it, and the server is told its own.
+func TestEachHopHasASpan(t *testing.T) {
+	exporter := tracetest.NewInMemoryExporter()
+	d := newDeployment(t, route.Route{Name: "r", Prefix: "/", Kind: route.Idempotent, MaxAttempts: 2})
+	d.tracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(exporter)).Tracer("")
+	d.addServer("a", refuses)
+	d.start()
+	assert.Equal(t, d.send("GET", "/", "one", "Traceparent", callersTrace).status, 503)
+	d.addServer("b", serves)
+	for len(d.runsOf("two")) == 0 {
+		assert.Equal(t, d.send("GET", "/", "two", "Traceparent", callersTrace).status, 200)
+	}
+	d.ingress.Stop(t.Context()) // The spans end before the connections do.
+	spans := exporter.GetSpans()
+	byName := map[string]int{}
+	for _, s := range spans {
+		byName[s.Name]++
+		assert.Equal(t, s.SpanContext.TraceID().String(), "0af7651916cd43dd8448eb211c80319c")
+	}
+	assert.Equal(t, byName["request"], 2)
+	assert.Assert(t, byName["attempt"] >= 2)
+	told := strings.Split(d.runsOf("two")[0].trace, "-")
+	assert.Equal(t, len(told), 4)
+	assert.Equal(t, parentOf(spans, told[2]), "request")
+}
+
+// parentOf returns the name of the span above the one with an ID.
+func parentOf(spans tracetest.SpanStubs, id string) string {
+	for _, s := range spans {
+		if s.SpanContext.SpanID().String() != id {
+			continue
+		}
+		for _, above := range spans {
+			if above.SpanContext.SpanID() == s.Parent.SpanID() {
+				return above.Name
+			}
+		}
+	}
+	return ""
+}
+
+// TestCallersTraceGoesOnUnrecorded: without export the server gets the trace
+// context as the caller sent it.
+func TestCallersTraceGoesOnUnrecorded(t *testing.T) {
+	d := newDeployment(t, route.Route{Name: "r", Prefix: "/", Kind: route.Idempotent})
+	d.addServer("a", serves)
+	d.start()
+	assert.Equal(t, d.send("GET", "/", "one", "Traceparent", callersTrace).status, 200)
+	assert.Equal(t, d.runsOf("one")[0].trace, callersTrace)
+}
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -56,6 +57,14 @@
 	}
 }
 
+// TestMeasurementsPageHasTheFiguresOfThePlatform compares the page that was last
+// written with the text that it takes over.
+func TestMeasurementsPageHasTheFiguresOfThePlatform(t *testing.T) {
+	page, err := os.ReadFile("../docs/MEASUREMENTS.md")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(page), "\n"+platformText))
+}
+
 func cmpOr(a, b string) string {
 	if a != "" {
 		return a
--- a/measure/page.go
+++ b/measure/page.go
@@ -14,6 +14,12 @@
 //go:embed remarks.md
 var remarksText string
 
+// platformText has the figures of another bench, which this package does not
+// work out.
+//
+//go:embed platform.md
+var platformText string
+
 // resultSet answers questions about many runs.
 type resultSet struct {
 	results []result
@@ -81,7 +87,7 @@
 func (s *resultSet) page() string {
 	var b strings.Builder
 	b.WriteString("# Measurements\n\nWritten by `make measure`; do not edit. ")
-	b.WriteString("The text is in measure/method.md and measure/remarks.md.\n\n")
+	b.WriteString("The text is in measure/method.md, measure/remarks.md and measure/platform.md.\n\n")
 	b.WriteString(methodText)
 	b.WriteString("\n## Targets\n\n")
 	s.writeTargets(&b)
@@ -97,6 +103,7 @@
 		b.WriteString("\n### With and without each choice\n\n")
 		s.writeAblations(&b, w)
 	}
+	b.WriteString("\n" + platformText)
 	return b.String()
 }
 
--- a/telemetry/tracing.go
+++ b/telemetry/tracing.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/url"
 	"os"
+	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -38,7 +40,8 @@
 // NewTracing returns the tracing that the settings describe: export as OTLP
 // over HTTP, to a file as JSON lines, to both or to neither. Without export
 // no spans are recorded, but the caller's trace context is still handed on.
-func NewTracing(ctx context.Context, t settings.Telemetry, daemon string) (*Tracing, error) {
+// Spans name the program and the daemon.
+func NewTracing(ctx context.Context, t settings.Telemetry, program, daemon string) (*Tracing, error) {
 	if t.OTLPURL == "" && t.SpanFile == "" {
 		return &Tracing{Tracer: noop.NewTracerProvider().Tracer(tracerName)}, nil
 	}
@@ -48,7 +51,7 @@
 	}
 	options := []sdktrace.TracerProviderOption{
 		sdktrace.WithResource(resource.NewSchemaless(
-			attribute.String("service.name", "jacinththreadd"),
+			attribute.String("service.name", program),
 			attribute.String("service.instance.id", daemon),
 		)),
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(t.SampleRatio))),
@@ -94,6 +97,16 @@
 	return trace.NewAggregate(errs...)
 }
 
+// Flush is Shutdown at the end of a program: it takes no longer than the
+// timeout, and failures are logged.
+func (t *Tracing) Flush(timeout time.Duration, logger *log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := t.Shutdown(ctx); err != nil {
+		logger.Warn("spans were not exported", "err", err)
+	}
+}
+
 // otlpEndpoint adds the standard path to a URL without one.
 func otlpEndpoint(base string) string {
 	u, err := url.Parse(base)
--- a/telemetry/tracing_test.go
+++ b/telemetry/tracing_test.go
@@ -29,7 +29,7 @@
 func TestSpanFileHoldsOneLinePerSpan(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "spans")
 	for range 2 { // A second start appends.
-		tr, err := NewTracing(t.Context(), settings.Telemetry{SpanFile: path, SampleRatio: 0}, "entry-1")
+		tr, err := NewTracing(t.Context(), settings.Telemetry{SpanFile: path, SampleRatio: 0}, "program", "entry-1")
 		assert.NilError(t, err)
 		ctx := Extract(t.Context(), parent)
 		ctx, outer := tr.Tracer.Start(ctx, "gateway")
@@ -54,7 +54,7 @@
 
 func TestSampleRatioZeroRecordsNoNewTraces(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "spans")
-	tr, err := NewTracing(t.Context(), settings.Telemetry{SpanFile: path, SampleRatio: 0}, "entry-1")
+	tr, err := NewTracing(t.Context(), settings.Telemetry{SpanFile: path, SampleRatio: 0}, "program", "entry-1")
 	assert.NilError(t, err)
 	_, span := tr.Tracer.Start(t.Context(), "gateway")
 	span.End()
@@ -73,7 +73,7 @@
 		}
 	}))
 	defer collector.Close()
-	tr, err := NewTracing(t.Context(), settings.Telemetry{OTLPURL: collector.URL, SampleRatio: 1}, "entry-1")
+	tr, err := NewTracing(t.Context(), settings.Telemetry{OTLPURL: collector.URL, SampleRatio: 1}, "program", "entry-1")
 	assert.NilError(t, err)
 	_, span := tr.Tracer.Start(t.Context(), "dispatch")
 	span.End()
@@ -82,7 +82,7 @@
 }
 
 func TestWithoutExportTheTraceContextIsHandedOn(t *testing.T) {
-	tr, err := NewTracing(t.Context(), settings.Telemetry{}, "entry-1")
+	tr, err := NewTracing(t.Context(), settings.Telemetry{}, "program", "entry-1")
 	assert.NilError(t, err)
 	in := http.Header{}
 	in.Set("traceparent", parent)
@@ -106,6 +106,6 @@
 
 func TestSpanFileInMissingDirectory(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "none", "spans")
-	_, err := NewTracing(t.Context(), settings.Telemetry{SpanFile: path}, "entry-1")
+	_, err := NewTracing(t.Context(), settings.Telemetry{SpanFile: path}, "program", "entry-1")
 	assert.ErrorContains(t, err, path)
 }
