--- a/entry/run.go
+++ b/entry/run.go
@@ -18,6 +18,9 @@
 	// lingerTime is how long a stopping daemon takes new requests: callers keep
 	// a directory answer for up to three times its lifetime.
 	lingerTime = 2500 * time.Millisecond
+	// firstRequestTime is how long the last connections may take to send their
+	// first request: several round trips between failure domains.
+	firstRequestTime = 100 * time.Millisecond
 	// stopReserve is left of the grace time for the end of the process.
 	stopReserve = 600 * time.Millisecond
 	// stopPoll is the time between two looks at the requests in progress.
@@ -74,6 +77,8 @@
 	d.callers.CloseAfterAnswers()
 	time.Sleep(min(lingerTime, d.current.Load().Grace/3))
 	d.callers.StopAccepting()
+	time.Sleep(firstRequestTime)
+	d.callers.CloseIdle()
 	for d.callers.Busy() > 0 && time.Since(begun) < d.current.Load().Grace-stopReserve {
 		time.Sleep(stopPoll)
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -76,8 +76,8 @@
 
 // serve handles the requests of the connection one after the other.
 func (c *conn) serve() {
-	defer c.server.remove(c)
 	defer c.nc.Close()
+	defer c.server.remove(c)
 	for c.next() {
 	}
 }
@@ -113,12 +113,29 @@
 	c.idleSince.CompareAndSwap(0, time.Now().UnixNano())
 	c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 	if c.server.closed.Load() {
+		c.closeIdle()
+	}
+	if _, err := c.br.Peek(1); err != nil && !isTimeout(err) {
+		return false
+	}
+	return c.br.Buffered() > 0 && c.begin() || c.lastLook()
+}
+
+// lastRead bounds the last read of a connection that a planned stop closes.
+const lastRead = 2 * time.Millisecond
+
+// lastLook reports whether a request came in the instant in which a planned
+// stop closed the idle connection. It is handled, as its caller could not tell
+// whether it ran.
+func (c *conn) lastLook() bool {
+	if !c.server.closed.Load() || c.idleSince.Load() != closing {
 		return false
 	}
+	c.nc.SetReadDeadline(time.Now().Add(lastRead))
 	if _, err := c.br.Peek(1); err != nil {
 		return false
 	}
-	return c.begin()
+	return c.idleSince.CompareAndSwap(closing, 0)
 }
 
 // statusError is a request that gets a status without being handled.
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -172,6 +172,7 @@
 	<-begun
 	s.CloseAfterAnswers()
 	s.StopAccepting()
+	s.CloseIdle()
 	_, err = idleReader.ReadByte()
 	assert.Equal(t, err, io.EOF, "an idle connection is closed")
 	assert.Equal(t, s.Busy(), 1)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,7 +117,7 @@
 func (s *Server) accept() {
 	for {
 		nc, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
@@ -166,13 +167,14 @@
 	delete(s.conns, c)
 }
 
-// Busy returns the number of connections with a request in progress.
+// Busy returns the number of connections on which a request is in progress or
+// may have come in the instant in which they were closed.
 func (s *Server) Busy() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for c := range s.conns {
-		if c.idleSince.Load() == 0 {
+		if c.idleSince.Load() <= 0 {
 			n++
 		}
 	}
@@ -182,11 +184,24 @@
 // CloseAfterAnswers makes the server end each connection with its next answer.
 func (s *Server) CloseAfterAnswers() { s.stopping.Store(true) }
 
-// StopAccepting closes the listener and the idle connections.
+// lastAccept is how long connections that the kernel has set up already are
+// still accepted: closing the listener would reset them with the requests that
+// their callers have sent.
+const lastAccept = 20 * time.Millisecond
+
+// StopAccepting closes the listener after the last connections were accepted.
 func (s *Server) StopAccepting() {
 	s.stopping.Store(true)
-	s.closed.Store(true)
+	if l, ok := s.listener.(*net.TCPListener); ok && l.SetDeadline(time.Now().Add(lastAccept)) == nil {
+		s.accepted.Wait()
+	}
 	s.listener.Close()
+	s.accepted.Wait()
+}
+
+// CloseIdle closes the idle connections.
+func (s *Server) CloseIdle() {
+	s.closed.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -196,8 +211,10 @@
 
 // Stop implements kernel.Service. It closes all connections.
 func (s *Server) Stop(context.Context) error {
-	s.StopAccepting()
+	s.stopping.Store(true)
+	s.listener.Close()
 	s.accepted.Wait()
+	s.CloseIdle()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -24,20 +24,18 @@
 			time.Sleep(2 * time.Millisecond)
 			echo(ctx, r, w)
 		})
-		c, err := net.Dial("tcp", s.Addr())
-		assert.NilError(t, err)
-		assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		c, answers := dial(t, s)
 		time.Sleep(time.Millisecond) // The connection is accepted and idle.
 		answered := make(chan bool)
 		go func() {
 			time.Sleep(time.Duration(i%40) * 5 * time.Microsecond)
 			io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			res, err := http.ReadResponse(answers, nil)
 			answered <- err == nil && res.StatusCode == http.StatusOK
 		}()
 		time.Sleep(100 * time.Microsecond)
 		s.CloseAfterAnswers()
-		s.StopAccepting()
+		s.CloseIdle()
 		for s.Busy() > 0 {
 			time.Sleep(100 * time.Microsecond)
 		}
@@ -60,3 +58,58 @@
 	assert.Assert(t, begun.begin())
 	assert.Assert(t, !begun.closeIdle())
 }
+
+// TestRequestsSentBeforeTheStopAreAnswered sends requests on an idle connection
+// and on new ones and stops the server at once.
+func TestRequestsSentBeforeTheStopAreAnswered(t *testing.T) {
+	const rounds, opened = 100, 8
+	for i := range rounds {
+		s := start(t, echo)
+		var conns []net.Conn
+		var answers []*bufio.Reader
+		open := func() {
+			c, r := dial(t, s)
+			conns, answers = append(conns, c), append(answers, r)
+		}
+		open()
+		time.Sleep(time.Duration(i%10) * 100 * time.Microsecond) // The connection is accepted and idle, or not yet.
+		for range opened {
+			open()
+		}
+		for _, c := range conns {
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.NilError(t, err)
+		}
+		s.CloseAfterAnswers()
+		s.StopAccepting()
+		s.CloseIdle()
+		for j, c := range conns {
+			res, err := http.ReadResponse(answers[j], nil)
+			assert.NilError(t, err, "round %d", i)
+			assert.Equal(t, res.StatusCode, http.StatusOK)
+			assert.NilError(t, c.Close())
+		}
+		for s.Busy() > 0 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		assert.NilError(t, s.Stop(t.Context()))
+	}
+}
+
+// TestRequestSentBeforeItsConnectionIsClosedIsAnswered: the bytes have come and
+// were not read yet when idle connections are closed.
+func TestRequestSentBeforeItsConnectionIsClosedIsAnswered(t *testing.T) {
+	const rounds = 300
+	for i := range rounds {
+		s := start(t, echo)
+		c, answers := dial(t, s)
+		time.Sleep(time.Millisecond) // The connection is accepted and idle.
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		s.CloseIdle()
+		_, err = http.ReadResponse(answers, nil)
+		assert.NilError(t, err, "round %d", i)
+		assert.NilError(t, c.Close())
+		assert.NilError(t, s.Stop(t.Context()))
+	}
+}
--- a/test/process_test.go
+++ b/internal/proctest/proctest.go
@@ -1,8 +1,10 @@
-package test
+// Package proctest runs the project's programs as processes for tests. Only
+// processes that it started are ever signaled.
+package proctest
 
 import (
 	"bytes"
-	"os"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -14,9 +16,21 @@
 // logTail bounds the output of a process that a failed test prints, in bytes.
 const logTail = 4 << 10
 
-// process is one program that the test started. Only its own process ID is
-// ever signaled.
-type process struct {
+// Build builds programs of the project, by the names of their directories under
+// cmd, into a directory. The root is the path to the repository.
+func Build(root, dir string, programs ...string) error {
+	for _, name := range programs {
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, name), "./cmd/"+name)
+		build.Dir = root
+		if out, err := build.CombinedOutput(); err != nil {
+			return fmt.Errorf("build of %s: %w\n%s", name, err, out)
+		}
+	}
+	return nil
+}
+
+// Process is one program that a test started.
+type Process struct {
 	name string
 	cmd  *exec.Cmd
 	out  tail
@@ -24,10 +38,10 @@
 	done chan struct{}
 }
 
-// startProcess starts a program of the project and ends it with the test.
-func startProcess(t *testing.T, name, program string, args ...string) *process {
+// Start starts the program at a path and ends it with the test.
+func Start(t *testing.T, name, program string, args ...string) *Process {
 	t.Helper()
-	p := &process{name: name, cmd: exec.Command(filepath.Join(binaries, program), args...), done: make(chan struct{})}
+	p := &Process{name: name, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
 	if err := p.cmd.Start(); err != nil {
 		t.Fatalf("start of %s: %v", name, err)
@@ -37,7 +51,7 @@
 		close(p.done)
 	}()
 	t.Cleanup(func() {
-		p.kill()
+		p.Kill()
 		if t.Failed() {
 			t.Logf("last output of %s:\n%s", name, p.out.String())
 		}
@@ -45,8 +59,8 @@
 	return p
 }
 
-// signal sends a signal unless the process has ended.
-func (p *process) signal(s syscall.Signal) {
+// Signal sends a signal unless the process has ended.
+func (p *Process) Signal(s syscall.Signal) {
 	select {
 	case <-p.done:
 	default:
@@ -54,8 +68,8 @@
 	}
 }
 
-// ended reports whether the process has ended.
-func (p *process) ended() bool {
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
 	select {
 	case <-p.done:
 		return true
@@ -64,15 +78,15 @@
 	}
 }
 
-// kill ends the process at once and waits for it.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
 	<-p.done
 }
 
-// waitEnd waits for the process's own end and returns its exit code, or false
+// WaitEnd waits for the process's own end and returns its exit code, or false
 // after the bound.
-func (p *process) waitEnd(bound time.Duration) (int, bool) {
+func (p *Process) WaitEnd(bound time.Duration) (int, bool) {
 	select {
 	case <-p.done:
 		return p.cmd.ProcessState.ExitCode(), true
@@ -104,13 +118,3 @@
 	defer l.mu.Unlock()
 	return l.buf.String()
 }
-
-// writeFile writes a file for a process into the test's directory.
-func writeFile(t *testing.T, name string, content []byte) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), name)
-	if err := os.WriteFile(path, content, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
--- /dev/null
+++ b/membership/alone_test.go
@@ -0,0 +1,24 @@
+package membership
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDaemonAloneShowsItsOwnVersion: callers find a daemon by the version that
+// it shows, so its own must not wait for a change of another daemon.
+func TestDaemonAloneShowsItsOwnVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 0)
+		c.settle(time.Minute)
+		s := c.services[c.names[0]]
+		s.SetBundleVersion(7)
+		daemons := s.Daemons()
+		assert.Equal(t, len(daemons), 1)
+		assert.Equal(t, daemons[0].BundleVersion, uint64(7))
+		c.stop()
+	})
+}
--- a/membership/service.go
+++ b/membership/service.go
@@ -166,7 +166,13 @@
 func (s *Service) SetLoad(n uint32) { s.load.Store(n) }
 
 // SetBundleVersion sets the bundle version in force on the local daemon.
-func (s *Service) SetBundleVersion(v uint64) { s.bundleVersion.Store(v) }
+func (s *Service) SetBundleVersion(v uint64) {
+	s.update(func() {
+		if s.bundleVersion.Swap(v) != v {
+			s.touchDaemons()
+		}
+	})
+}
 
 // update changes the state under the lock and publishes what changed.
 func (s *Service) update(change func()) {
--- a/test/deploy_test.go
+++ b/test/deploy_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/internal/proctest"
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
@@ -62,7 +64,7 @@
 	operators string
 	relay     *relay
 	config    string
-	proc      *process
+	proc      *proctest.Process
 }
 
 // deployment is a whole system on loopback addresses.
@@ -101,7 +103,7 @@
 func deploy(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, platform: freeAddr(t)}
-	startProcess(t, "platform", "standin", "platform", "--listen", d.platform)
+	proctest.Start(t, "platform", program("standin"), "platform", "--listen", d.platform)
 	for i := range 4 {
 		d.engines = append(d.engines, d.startBackend(llmService, fmt.Sprintf("llm-%c%d", "ab"[i%2], i), "engine"))
 	}
@@ -129,7 +131,7 @@
 
 func (d *deployment) startBackend(service, name, kind string) *backend {
 	b := &backend{name: name, service: service, addr: freeAddr(d.t)}
-	startProcess(d.t, name, "standin", kind, "--listen", b.addr, "--name", name)
+	proctest.Start(d.t, name, program("standin"), kind, "--listen", b.addr, "--name", name)
 	b.relay = startRelay(d.t, b.addr)
 	return b
 }
@@ -142,14 +144,14 @@
 
 // start starts a daemon's process, the first or a later one at its addresses.
 func (d *deployment) start(m *daemon) {
-	m.proc = startProcess(d.t, m.name, "jacinththreadd", "--settings", m.config)
+	m.proc = proctest.Start(d.t, m.name, program("jacinththreadd"), "--settings", m.config)
 }
 
 func (d *deployment) awaitReady(m *daemon) {
 	d.await(m.name, func() bool {
-		return m.proc.ended() || d.get("http://"+m.operators+"/readyz", nil) == nil
+		return m.proc.Ended() || d.get("http://"+m.operators+"/readyz", nil) == nil
 	})
-	if m.proc.ended() {
+	if m.proc.Ended() {
 		d.t.Errorf("%s ended at its start", m.name)
 	}
 }
@@ -181,7 +183,9 @@
 	s.Telemetry.SampleRatio = 0
 	content, err := json.Marshal(s)
 	assert.NilError(d.t, err)
-	return writeFile(d.t, m.name+".jsonc", content)
+	path := filepath.Join(d.t.TempDir(), m.name+".jsonc")
+	assert.NilError(d.t, os.WriteFile(path, content, 0o600))
+	return path
 }
 
 // setHosts publishes the host list.
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -47,7 +47,7 @@
 
 func kill(s *scene, m *daemon) {
 	s.rec.Add(proof.Event{Kind: proof.Killed, Daemon: m.name})
-	m.proc.kill()
+	m.proc.Kill()
 }
 
 func restart(s *scene, m *daemon) {
@@ -55,23 +55,23 @@
 	s.d.awaitReady(m)
 }
 
-func pause(_ *scene, m *daemon) { m.proc.signal(syscall.SIGSTOP) }
+func pause(_ *scene, m *daemon) { m.proc.Signal(syscall.SIGSTOP) }
 
 func resume(_ *scene, m *daemon) {
 	time.Sleep(pauseTime)
-	m.proc.signal(syscall.SIGCONT)
+	m.proc.Signal(syscall.SIGCONT)
 }
 
 func stop(s *scene, m *daemon) {
 	s.rec.Add(proof.Event{Kind: proof.StopBegan, Daemon: m.name})
-	m.proc.signal(syscall.SIGTERM)
+	m.proc.Signal(syscall.SIGTERM)
 }
 
 func awaitStop(s *scene, m *daemon) {
-	if code, ok := m.proc.waitEnd(stopBound); ok {
+	if code, ok := m.proc.WaitEnd(stopBound); ok {
 		s.rec.Add(proof.Event{Kind: proof.Stopped, Daemon: m.name, Exit: code})
 	}
-	m.proc.kill()
+	m.proc.Kill()
 	restart(s, m)
 }
 
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
+
+	"github.com/jacinththread/jacinththread/internal/proctest"
 )
 
 // binaries is the directory of the built programs.
@@ -26,12 +27,12 @@
 	}
 	defer os.RemoveAll(dir)
 	binaries = dir
-	for _, name := range programs {
-		build := exec.Command("go", "build", "-o", filepath.Join(dir, name), "../cmd/"+name)
-		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build of %s: %v\n%s", name, err, out)
-			return 1
-		}
+	if err := proctest.Build("..", dir, programs...); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
 	}
 	return m.Run()
 }
+
+// program returns the path of a built program.
+func program(name string) string { return filepath.Join(binaries, name) }
