Make tables and a plot of what callers got from the daemons' logs

Cause: which requests were lost, where and why was read from logs with throwaway scripts; operators had none.

Ruled out: counters by route and size in the daemons; they cost memory for each combination and can't be grouped afterwards.

Change: package report reads the lines 'request done' and groups them by service and route, prompt size, failure domain, host, customer, arrival and reason; jacinththreadctl report prints the tables, or JSON, and draws a plot. The lines gain target_ms, gap_target_ms and tokens_in. A test compares what callers of the real forwarder got with what the report says of it.

Before and after: nothing that decides changed.

--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -18,7 +18,7 @@
 type group struct{}
 
 func commands() []spec {
-	specs := []spec{bundleSpec(), entriesSpec(), sendSpec(), loadSpec(), completionSpec()}
+	specs := []spec{bundleSpec(), entriesSpec(), sendSpec(), loadSpec(), reportSpec(), completionSpec()}
 	return append(specs, listSpecs()...)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -247,8 +247,9 @@
 		version = q.table.Version()
 	}
 	name, server := "", ""
+	var target, gapTarget time.Duration
 	if q.route != nil {
-		name = q.route.Name
+		name, target, gapTarget = q.route.Name, q.route.Target, q.route.GapTarget
 	}
 	if q.last != nil {
 		server = q.last.ID
@@ -259,6 +260,7 @@
 		"service", q.service, "outcome", q.outcome, "status", q.status, "reason", q.reason,
 		"server", server, "sends", q.sends, "attempts", q.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", q.firstAfter().Milliseconds(), "gap_ms", q.longestGap.Milliseconds(),
+		"target_ms", target.Milliseconds(), "gap_target_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"backlog_tokens", q.backlog, "missing_tokens", q.missing, "config", int64(version),
 		"servers", q.known, "revision", revision, "age_ms", age.Milliseconds())
 }
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -80,6 +80,7 @@
 	ingress *ingress.Server
 	limit   budget.Limit
 	tracer  trace.Tracer
+	log     *log.Logger
 
 	mu   sync.Mutex
 	runs []run
@@ -93,7 +94,7 @@
 
 func newDeployment(t *testing.T, routes ...route.Route) *deployment {
 	t.Helper()
-	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer("")}
+	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer(""), log: log.New(io.Discard)}
 	d.catalog = backend.NewCatalog(log.New(io.Discard))
 	d.catalog.SetStoreAway(false, time.Now().Add(-time.Hour))
 	for i := range routes {
@@ -112,7 +113,7 @@
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
 		Knowledge: func() (int64, time.Duration) { return 1, time.Second },
 		Tracker:   placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
-		Dialect: testDialect{}, Log: log.New(io.Discard), Metrics: registry, Tracer: d.tracer,
+		Dialect: testDialect{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
 	})
 	d.ingress = ingress.New(ingress.Config{
 		Addr: "127.0.0.1:0", Handler: f.Serve, Limits: func() ingress.Limits { return ingress.Limits{} },
--- /dev/null
+++ b/forward/report_test.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/report"
+	"github.com/jacinththread/jacinththread/route"
+	"github.com/jacinththread/jacinththread/settings"
+	"github.com/jacinththread/jacinththread/telemetry"
+)
+
+// lines is a log that several goroutines write to.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// TestReportReadsTheLinesOfRequests compares what callers got with what the
+// report says of it.
+func TestReportReadsTheLinesOfRequests(t *testing.T) {
+	slow := func(d *deployment, c net.Conn, r *bufio.Reader, req run) bool {
+		time.Sleep(60 * time.Millisecond)
+		return serves(d, c, r, req)
+	}
+	for name, test := range map[string]struct {
+		script script
+		fate   report.Fate
+	}{
+		"served":          {serves, report.InTime},
+		"late":            {slow, report.LateFirst},
+		"refused":         {refuses, report.Refused},
+		"reset":           {resets, report.Unknown},
+		"failed":          {says("HTTP/1.1 500 Internal Server Error\r\nId: $ID\r\nContent-Length: 0\r\n\r\n"), report.ServerError},
+		"broken":          {says("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: x\r\nContent-Type: text/event-stream\r\nContent-Length: 99\r\n\r\nid: 1\n\n"), report.Broken},
+		"unknown is kept": {says("HTTP/1.1 503 Service Unavailable\r\nId: $ID\r\nContent-Length: 0\r\n\r\n"), report.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, route.Route{Name: "r", Prefix: "/", Kind: route.NonIdempotent, Target: 50 * time.Millisecond})
+			out := &lines{}
+			logger, err := telemetry.NewLogger(out, settings.Telemetry{LogLevel: "info", LogFormat: "json"}, "entry-1")
+			assert.NilError(t, err)
+			d.log = logger
+			d.addServer("a", test.script)
+			d.start()
+			d.send("POST", "/", "one")
+			d.ingress.Stop(t.Context())
+			for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+				out.mu.Lock()
+				done := bytes.Contains(out.buf.Bytes(), []byte("request done"))
+				out.mu.Unlock()
+				if done {
+					break
+				}
+			}
+			var logs report.Logs
+			assert.NilError(t, logs.Read(&out.buf))
+			assert.Equal(t, len(logs.Requests), 1)
+			got := logs.Requests[0]
+			assert.Equal(t, got.Fate(), test.fate, "%+v", got)
+			assert.Equal(t, got.ID, "one")
+			assert.Equal(t, got.Host, "entry-1")
+			assert.Equal(t, got.Route, "r")
+			assert.Equal(t, got.TargetMs, int64(50))
+		})
+	}
+}
--- /dev/null
+++ b/report/plot.go
@@ -0,0 +1,91 @@
+package report
+
+import (
+	"fmt"
+	"image/color"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 10 * vg.Inch
+	plotHeight = 4.5 * vg.Inch
+	// plotFill is the part of the width that the bars take.
+	plotFill = 0.8
+)
+
+// fateColors tell fates apart in plots.
+var fateColors = [fates]color.Color{
+	color.RGBA{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
+	color.RGBA{R: 0xf0, G: 0xe4, B: 0x42, A: 0xff},
+	color.RGBA{R: 0xe6, G: 0x9f, B: 0x00, A: 0xff},
+	color.RGBA{R: 0xcc, G: 0xcc, B: 0xcc, A: 0xff},
+	color.RGBA{R: 0x56, G: 0xb4, B: 0xe9, A: 0xff},
+	color.RGBA{R: 0xd5, G: 0x5e, B: 0x00, A: 0xff},
+	color.RGBA{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+	color.RGBA{R: 0x00, G: 0x00, B: 0x00, A: 0xff},
+	color.RGBA{R: 0x80, G: 0x80, B: 0x80, A: 0xff},
+}
+
+// Plot draws what callers got over time as stacked bars into a file, whose
+// ending chooses the format.
+func (l *Logs) Plot(path string, interval time.Duration) error {
+	rows, first := l.over(interval)
+	if len(rows) == 0 {
+		return fmt.Errorf("no requests to draw")
+	}
+	p := plot.New()
+	p.Title.Text = "requests by what their callers got, from " + first.UTC().Format(time.DateTime)
+	p.X.Label.Text = fmt.Sprintf("intervals of %s", interval)
+	p.Y.Label.Text = "requests"
+	p.Legend.Top = true
+	width := plotWidth * plotFill / vg.Length(len(rows))
+	var below *plotter.BarChart
+	for f := range fates {
+		values := make(plotter.Values, len(rows))
+		for i, row := range rows {
+			values[i] = float64(row.Fates[f])
+		}
+		bars, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return err
+		}
+		bars.Color, bars.LineStyle.Width = fateColors[f], 0
+		if below != nil {
+			bars.StackOn(below)
+		}
+		below = bars
+		p.Add(bars)
+		p.Legend.Add(f.String(), bars)
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+// over counts the requests by interval of their arrival, without gaps.
+func (l *Logs) over(interval time.Duration) ([]*Row, time.Time) {
+	if len(l.Requests) == 0 {
+		return nil, time.Time{}
+	}
+	first, last := l.Requests[0].Arrived(), l.Requests[0].Arrived()
+	for i := range l.Requests {
+		at := l.Requests[i].Arrived()
+		if at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	first = first.Truncate(interval)
+	rows := make([]*Row, int(last.Sub(first)/interval)+1)
+	for i := range rows {
+		rows[i] = newRow("")
+	}
+	for i := range l.Requests {
+		rows[int(l.Requests[i].Arrived().Sub(first)/interval)].add(&l.Requests[i])
+	}
+	return rows, first
+}
