--- a/backend/backend.go
+++ b/backend/backend.go
@@ -26,8 +26,6 @@
 	Domain string
 	// Draining servers get no new requests.
 	Draining bool
-	// Slots is the number of requests that run at once.
-	Slots int
 	// ColdUntil is when the server reaches its full speed.
 	ColdUntil time.Time
 	// Started tells apart the lives of servers that reuse an ID. It is the
--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,7 +11,6 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +22,7 @@
 
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/ctl/client"
+	"github.com/jacinththread/jacinththread/internal/logtest"
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
@@ -80,7 +79,7 @@
 	http        *http.Client
 	kv          *httpstore.Client
 	daemons     []*testDaemon
-	logs        *buffer
+	logs        *logtest.Buffer
 	spans       *tracetest.InMemoryExporter
 }
 
@@ -91,24 +90,6 @@
 	stopped  bool
 }
 
-// buffer is a log sink that is safe for concurrent use.
-type buffer struct {
-	mu   sync.Mutex
-	data bytes.Buffer
-}
-
-func (b *buffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.data.Write(p)
-}
-
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.data.String()
-}
-
 // newDeployment starts the platform and the backend servers.
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
@@ -117,7 +98,7 @@
 		platform: standinplatform.New(),
 		ledger:   plain.New(plain.Config{Name: "ledger-1"}),
 		http:     &http.Client{Transport: &http.Transport{}},
-		logs:     &buffer{},
+		logs:     &logtest.Buffer{},
 		spans:    tracetest.NewInMemoryExporter(),
 	}
 	t.Cleanup(d.http.CloseIdleConnections)
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -22,7 +22,6 @@
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/placement"
-	"github.com/jacinththread/jacinththread/policy"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/telemetry"
 	"github.com/jacinththread/jacinththread/upstream"
@@ -55,12 +54,6 @@
 	forgetAfter = time.Minute
 	// heartbeat is how long a peer link may leave bytes unanswered.
 	heartbeat = 400 * time.Millisecond
-	// everyoneWatches is the number of other daemons below which all watch the
-	// store.
-	everyoneWatches = 12
-	// watchersPerDomain is the number of daemons of a failure domain that watch
-	// the store for the others in a large fleet.
-	watchersPerDomain = 3
 	// reservedDescriptors are left for files and links between daemons.
 	reservedDescriptors = 700
 	// bodyShare is the part of the memory that callers' bodies may take.
@@ -88,6 +81,7 @@
 	tracker *placement.Tracker
 	budget  *budget.Budget
 	members *membership.Service
+	fleet   fleet
 	callers *ingress.Server
 	resolve atomic.Pointer[func(string) (string, bool)]
 	leaving atomic.Bool
@@ -110,6 +104,8 @@
 	d.pool = upstream.NewPool(d.metrics)
 	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
 	d.budget = budget.New(s.Budget, d.daemonCount)
+	d.fleet.self = placement.Peer{Name: s.Peers, Domain: s.Domain}
+	d.fleet.daemons = func() []membership.Daemon { return d.members.Daemons() }
 	return d
 }
 
@@ -184,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return mirror.NewExchange(d.copy, node, d.peers, d.watchers, d.log, d.metrics), nil
+	return mirror.NewExchange(d.copy, node, d.peers, d.fleet.Watchers, d.log, d.metrics), nil
 }
 
 func (d *Daemon) newSharing(r kernel.Registry) (kernel.Service, error) {
@@ -192,45 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return placement.NewSharing(d.tracker, node, d.fleet, d.log, d.metrics), nil
-}
-
-// fleet returns the live daemons with their failure domains.
-func (d *Daemon) fleet() placement.Fleet {
-	f := placement.Fleet{Self: placement.Peer{Name: d.settings.Peers, Domain: d.settings.Domain}}
-	for _, m := range d.members.Daemons() {
-		if m.Name != d.settings.Peers && m.State == membership.Alive {
-			f.Others = append(f.Others, placement.Peer{Name: m.Name, Domain: m.Domain})
-		}
-	}
-	return f
-}
-
-// watchers returns the daemons that watch the store: all of a small fleet, and
-// a few of each failure domain of a large one.
-func (d *Daemon) watchers() mirror.Watchers {
-	f := d.fleet()
-	if len(f.Others) < everyoneWatches {
-		return mirror.Watchers{Self: true}
-	}
-	var members []string
-	for _, p := range f.Others {
-		if p.Domain == f.Self.Domain {
-			members = append(members, p.Name)
-		}
-	}
-	members = append(members, f.Self.Name)
-	var w mirror.Watchers
-	for range min(watchersPerDomain, len(members)) {
-		name := policy.Assign(f.Self.Domain, members)
-		members = slices.DeleteFunc(members, func(n string) bool { return n == name })
-		if name == f.Self.Name {
-			w.Self = true
-		} else {
-			w.Others = append(w.Others, name)
-		}
-	}
-	return w
+	return placement.NewSharing(d.tracker, node, d.fleet.Others, d.log, d.metrics), nil
 }
 
 // peers returns the live daemons without the local one.
@@ -240,7 +198,7 @@
 }
 
 func (d *Daemon) newFollower(kernel.Registry) (kernel.Service, error) {
-	return mirror.NewFollower(d.copy, d.adapter.Source, d.watchers, d.log, d.metrics), nil
+	return mirror.NewFollower(d.copy, d.adapter.Source, d.fleet.Watchers, d.log, d.metrics), nil
 }
 
 func (d *Daemon) newRegistration(kernel.Registry) (kernel.Service, error) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -260,7 +260,7 @@
 		"service", q.service, "outcome", q.outcome, "status", q.status, "reason", q.reason,
 		"server", server, "sends", q.sends, "attempts", q.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", q.firstAfter().Milliseconds(), "gap_ms", q.longestGap.Milliseconds(),
-		"target_ms", target.Milliseconds(), "gap_target_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
+		"target_ms", target.Milliseconds(), "gap_limit_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"backlog_tokens", q.backlog, "missing_tokens", q.missing, "config", int64(version),
 		"servers", q.known, "revision", revision, "age_ms", age.Milliseconds())
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -91,7 +91,7 @@
 	a := t.answer
 	t.flight.Heard(time.Now())
 	if a.Framing == upstream.Sized && a.Length > holdBytes {
-		return q.relayLong(ctx, t)
+		return q.relayRest(t, nil)
 	}
 	var body bytes.Buffer
 	_, err := io.Copy(&body, io.LimitReader(a, holdBytes+1))
@@ -100,7 +100,7 @@
 		return q.retryOrGiveUp(ctx, t, fmt.Errorf("answer broke off: %w", err))
 	}
 	if body.Len() > holdBytes {
-		return q.relayRest(ctx, t, body.Bytes())
+		return q.relayRest(t, body.Bytes())
 	}
 	if a.Status >= http.StatusInternalServerError && q.worthRepeating(ctx) {
 		return q.retryOrGiveUpWith(ctx, t, body.Bytes())
@@ -164,13 +164,8 @@
 	return false
 }
 
-// relayLong passes on an answer that is too long to be held.
-func (q *request) relayLong(ctx context.Context, t try) (again bool) {
-	return q.relayRest(ctx, t, nil)
-}
-
 // relayRest passes on the bytes read so far and the rest as it comes.
-func (q *request) relayRest(ctx context.Context, t try, first []byte) (again bool) {
+func (q *request) relayRest(t try, first []byte) (again bool) {
 	a := t.answer
 	q.w.Head(a.Status, withoutHopByHop(a.Header), framingOf(a), a.Length)
 	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(first), a))
--- a/forward/report_test.go
+++ b/forward/report_test.go
@@ -2,32 +2,20 @@
 
 import (
 	"bufio"
-	"bytes"
 	"net"
-	"sync"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jacinththread/jacinththread/internal/logtest"
 	"github.com/jacinththread/jacinththread/report"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/settings"
 	"github.com/jacinththread/jacinththread/telemetry"
 )
 
-// lines is a log that several goroutines write to.
-type lines struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
 // TestReportReadsTheLinesOfRequests compares what callers got with what the
 // report says of it.
 func TestReportReadsTheLinesOfRequests(t *testing.T) {
@@ -49,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, route.Route{Name: "r", Prefix: "/", Kind: route.NonIdempotent, Target: 50 * time.Millisecond})
-			out := &lines{}
+			out := &logtest.Buffer{}
 			logger, err := telemetry.NewLogger(out, settings.Telemetry{LogLevel: "info", LogFormat: "json"}, "entry-1")
 			assert.NilError(t, err)
 			d.log = logger
@@ -58,15 +46,12 @@
 			d.send("POST", "/", "one")
 			d.ingress.Stop(t.Context())
 			for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-				out.mu.Lock()
-				done := bytes.Contains(out.buf.Bytes(), []byte("request done"))
-				out.mu.Unlock()
-				if done {
+				if strings.Contains(out.String(), "request done") {
 					break
 				}
 			}
 			var logs report.Logs
-			assert.NilError(t, logs.Read(&out.buf))
+			assert.NilError(t, logs.Read(strings.NewReader(out.String())))
 			assert.Equal(t, len(logs.Requests), 1)
 			got := logs.Requests[0]
 			assert.Equal(t, got.Fate(), test.fate, "%+v", got)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -16,6 +16,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/internal/defaults"
 )
 
 // Limits bound what a caller may send. Zero values mean the defaults.
@@ -35,18 +37,10 @@
 )
 
 func (l Limits) orDefaults() Limits {
-	if l.HeaderBytes <= 0 {
-		l.HeaderBytes = defaultHeaderBytes
-	}
-	if l.BodyBytes <= 0 {
-		l.BodyBytes = defaultBodyBytes
-	}
-	if l.HeaderTimeout <= 0 {
-		l.HeaderTimeout = defaultHeaderTimeout
-	}
-	if l.IdleTimeout <= 0 {
-		l.IdleTimeout = defaultIdleTimeout
-	}
+	l.HeaderBytes = defaults.Positive(l.HeaderBytes, defaultHeaderBytes)
+	l.BodyBytes = defaults.Positive(l.BodyBytes, defaultBodyBytes)
+	l.HeaderTimeout = defaults.Positive(l.HeaderTimeout, defaultHeaderTimeout)
+	l.IdleTimeout = defaults.Positive(l.IdleTimeout, defaultIdleTimeout)
 	return l
 }
 
--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -3,14 +3,14 @@
 package proctest
 
 import (
-	"bytes"
 	"fmt"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/jacinththread/jacinththread/internal/logtest"
 )
 
 // logTail bounds the output of a process that a failed test prints, in bytes.
@@ -33,7 +33,7 @@
 type Process struct {
 	name string
 	cmd  *exec.Cmd
-	out  tail
+	out  logtest.Buffer
 	// done is closed when the process has ended and was waited for.
 	done chan struct{}
 }
@@ -42,6 +42,7 @@
 func Start(t *testing.T, name, program string, args ...string) *Process {
 	t.Helper()
 	p := &Process{name: name, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p.out.Most = logTail
 	p.cmd.Stdout, p.cmd.Stderr = &p.out, &p.out
 	if err := p.cmd.Start(); err != nil {
 		t.Fatalf("start of %s: %v", name, err)
@@ -94,27 +95,3 @@
 		return 0, false
 	}
 }
-
-// tail keeps the last output of a process.
-type tail struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *tail) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.buf.Write(b)
-	if extra := l.buf.Len() - logTail; extra > 0 {
-		l.buf.Next(extra)
-	}
-	return len(b), nil
-}
-
-// String returns the kept output.
-func (l *tail) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.String()
-}
--- a/peer/config.go
+++ b/peer/config.go
@@ -8,6 +8,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/internal/defaults"
 )
 
 // Defaults of Config.
@@ -57,21 +59,11 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
-	if c.Heartbeat <= 0 {
-		c.Heartbeat = DefaultHeartbeat
-	}
-	if c.MaxSilent <= 0 {
-		c.MaxSilent = DefaultMaxSilent
-	}
-	if c.KeepAlive <= 0 {
-		c.KeepAlive = DefaultKeepAlive
-	}
-	if c.IdleClose <= 0 {
-		c.IdleClose = DefaultIdleClose
-	}
-	if c.QueueBytes <= 0 {
-		c.QueueBytes = DefaultQueueBytes
-	}
+	c.Heartbeat = defaults.Positive(c.Heartbeat, DefaultHeartbeat)
+	c.MaxSilent = defaults.Positive(c.MaxSilent, DefaultMaxSilent)
+	c.KeepAlive = defaults.Positive(c.KeepAlive, DefaultKeepAlive)
+	c.IdleClose = defaults.Positive(c.IdleClose, DefaultIdleClose)
+	c.QueueBytes = defaults.Positive(c.QueueBytes, DefaultQueueBytes)
 }
 
 // check returns all faults of a configuration.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -28,7 +28,7 @@
 }
 
 func server(i int) *backend.Server {
-	return &backend.Server{ID: fmt.Sprint("server-", i), Service: "engines", Domain: "d1", Slots: 64}
+	return &backend.Server{ID: fmt.Sprint("server-", i), Service: "engines", Domain: "d1"}
 }
 
 func servers(n int) []*backend.Server {
--- a/report/read.go
+++ b/report/read.go
@@ -40,7 +40,7 @@
 	FirstMs     int64 `json:"first_ms"`
 	GapMs       int64 `json:"gap_ms"`
 	TargetMs    int64 `json:"target_ms"`
-	GapTargetMs int64 `json:"gap_target_ms"`
+	GapTargetMs int64 `json:"gap_limit_ms"`
 	// TokensIn is the size of the prompt, Missing the part of it that the server
 	// did not hold, and Backlog what the server had to read before.
 	TokensIn int64 `json:"tokens_in"`
--- a/route/config.go
+++ b/route/config.go
@@ -83,8 +83,6 @@
 
 // Engine describes the model servers of a service.
 type Engine struct {
-	// Slots is the number of requests that run at once.
-	Slots int
 	// MemoryTokens is shared by running requests and cached prompt parts.
 	MemoryTokens int
 }
