Avoid servers whose pauses between events are longer than a request allows

Ruled out: more calm servers (slow ones are among them); pauses as a threshold (a fixed cost of 2 to 8 restless servers: once all servers crossed the bound, nothing told them apart, and chats piled up); a weight above 200,000 (the same).

Change: the tracker keeps the longest pause of the last 20 to 40 s for each server; Choose adds a cost that grows with the excess over the request's own bound.

What is left late is mostly in the first four seconds, before pauses are known.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -114,6 +114,7 @@
 	return q.cfg.Tracker.Place(time.Now(), left, placement.Want{
 		Memory: memory, Patience: q.patience(),
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
+		Gap:   q.route.GapTarget,
 		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.TightestGap(q.service),
 	})
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,7 +35,11 @@
 	Prompt []Part
 	// TokensIn is the number of prompt tokens, TokensOut the most generated.
 	TokensIn, TokensOut int
-	// Tight is set if events must come in quick succession.
+	// Gap is the longest pause between events with which the request is in time;
+	// zero means that there is no bound.
+	Gap time.Duration
+	// Tight is set if events must come in quicker succession than those of other
+	// requests of the service.
 	Tight bool
 	// Memory is the number of tokens that a server of the service holds; zero
 	// means that it is not known.
@@ -66,6 +70,8 @@
 	Slowness float64
 	// ErrorShare is the recent share of failed requests.
 	ErrorShare float64
+	// Pause is the longest pause between events seen lately.
+	Pause time.Duration
 	// Calm servers are kept for requests whose events must come in quick
 	// succession.
 	Calm bool
@@ -145,6 +151,7 @@
 		if c.Calm != want.Tight {
 			cost += misplacedTokens(want, miss)
 		}
+		cost += c.pauseCost(&want)
 	}
 	cost *= max(1, c.Slowness)
 	if c.Server.Domain != want.Domain {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -71,6 +71,7 @@
 	reading    int
 	used       int
 	pace       pace
+	pauses     pauses
 	failures   int
 	suspended  time.Time
 	errorShare float64
@@ -141,6 +142,7 @@
 		Held:       st.held(now, want.Prompt),
 		Slowness:   1,
 		ErrorShare: st.errorShare,
+		Pause:      st.pauses.longest(now),
 		Suspended:  now.Before(st.suspended) || quiet,
 	}
 }
@@ -242,6 +244,8 @@
 	// Backlog is the number of tokens that the server had to read before.
 	Backlog int
 	placed  time.Time
+	// event is when the server last sent a part of the answer.
+	event   time.Time
 	reading int
 	used    int
 	tight   bool
@@ -254,6 +258,10 @@
 	defer f.tracker.mu.Unlock()
 	st := f.tracker.state(f.Server.Life())
 	st.heard = now
+	if !f.event.IsZero() {
+		st.pauses.observe(now, now.Sub(f.event))
+	}
+	f.event = now
 	if f.reading > 0 {
 		st.pace.observe(f.Backlog+f.Missing, now.Sub(f.placed))
 		f.tracker.pace.observe(f.Backlog+f.Missing, now.Sub(f.placed))
