Apply the records of servers in batches, and bound two tests

The catalog was copied and sorted for each record: a start with n servers cost n copies, and every heartbeat of a server another.

Ruled out: the number of reads from the store (a few a second); log lines (one for each server and daemon).

Change: Catalog.Apply takes a batch and publishes once; a record that says nothing new besides its revision changes nothing. Tests of callers who leave end after the half second that servers may work on, in place of never: without the cancelled context one of them passed and one hung.

Conclusion: the start of a large deployment no longer grows with its square.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -31,7 +31,8 @@
 	// Started tells apart the lives of servers that reuse an ID. It is the
 	// server's own clock in Unix milliseconds.
 	Started int64
-	// Revision is the store's revision of the record.
+	// Revision is the store's revision of the record when it last said anything
+	// new.
 	Revision int64
 }
 
@@ -86,53 +87,80 @@
 	return s != nil && s.Started == life.Started
 }
 
-// Put adds or replaces a server.
-func (c *Catalog) Put(s Server) {
+// Change is a change of one server's record.
+type Change struct {
+	ID string
+	// Server is the record, or nil if it is gone or names no server to use.
+	Server *Server
+	// Unusable is set if there is a record that names no server to use.
+	Unusable bool
+	Revision int64
+}
+
+// Apply takes over changes in their order. Readers see all of them at once.
+func (c *Catalog) Apply(changes []Change, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	changed := false
+	for _, ch := range changes {
+		switch {
+		case ch.Server != nil:
+			changed = c.put(ch.Server) || changed
+		case ch.Unusable:
+			changed = c.drop(ch.ID, ch.Revision) || changed
+		default:
+			changed = c.remove(ch.ID, ch.Revision, now) || changed
+		}
+	}
+	if changed {
+		c.publish()
+	}
+}
+
+// put reports whether the record says anything new besides its revision: in a
+// large deployment most records only say that a server lives.
+func (c *Catalog) put(s *Server) bool {
 	old := c.servers[s.ID]
 	delete(c.lapsed, s.ID)
-	c.servers[s.ID] = &s
+	if old != nil && old.sameAs(s) {
+		return false
+	}
+	c.servers[s.ID] = s
 	if old == nil || old.Started != s.Started || old.Draining != s.Draining || old.Addr != s.Addr {
 		c.log.Info("backend server changed", "server", s.ID, "service", s.Service, "addr", s.Addr,
 			"domain", s.Domain, "draining", s.Draining, "started", s.Started, "revision", s.Revision)
 	}
-	c.publish()
+	return true
+}
+
+// sameAs reports whether two records of a server differ in their revision only.
+func (s *Server) sameAs(other *Server) bool {
+	a, b := *s, *other
+	a.Revision, b.Revision = 0, 0
+	return a == b
 }
 
-// Remove takes a server out whose record is gone. While the store is away and
+// remove takes a server out whose record is gone. While the store is away and
 // shortly after, the server stays, as its record may only have lapsed.
-func (c *Catalog) Remove(id string, revision int64, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (c *Catalog) remove(id string, revision int64, now time.Time) bool {
 	s := c.servers[id]
-	if s == nil {
-		return
-	}
-	if (c.away || now.Before(c.settled)) && !s.Draining {
+	if s != nil && (c.away || now.Before(c.settled)) && !s.Draining {
 		c.lapsed[id] = true
 		c.log.Info("backend server record lapsed, keeping the server for now", "server", id, "revision", revision)
-		return
+		return false
 	}
-	c.drop(id, revision)
-	c.publish()
+	return c.drop(id, revision)
 }
 
-// Discard takes out a server whose record names no server to use.
-func (c *Catalog) Discard(id string, revision int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// drop takes a server out and reports whether it was there.
+func (c *Catalog) drop(id string, revision int64) bool {
 	if c.servers[id] == nil {
-		return
+		return false
 	}
-	c.drop(id, revision)
-	c.publish()
-}
-
-func (c *Catalog) drop(id string, revision int64) {
 	delete(c.servers, id)
 	delete(c.lapsed, id)
 	c.log.Info("backend server gone", "server", id, "revision", revision)
+	return true
 }
 
 // SetStoreAway records whether the store answers.
--- a/entry/records.go
+++ b/entry/records.go
@@ -26,14 +26,15 @@
 
 // apply takes over changes in the order of their revisions.
 func (r *records) apply(changes []store.Entry) {
+	var servers []backend.Change
 	for _, e := range changes {
-		switch {
-		case e.Key == ConfigKey:
+		if e.Key == ConfigKey {
 			r.applyConfig(e)
-		case strings.HasPrefix(e.Key, ServersPrefix):
-			r.applyServer(strings.TrimPrefix(e.Key, ServersPrefix), e)
+		} else if id, ok := strings.CutPrefix(e.Key, ServersPrefix); ok {
+			servers = append(servers, r.serverChange(id, e))
 		}
 	}
+	r.catalog.Apply(servers, time.Now())
 }
 
 // applyConfig puts a configuration in force unless it is older than the
@@ -60,16 +61,18 @@
 	r.log.Info("configuration in force", "version", int64(c.Version), "revision", e.Revision, "routes", routes, "keys", keys)
 }
 
-func (r *records) applyServer(id string, e store.Entry) {
+// serverChange decodes the record of a server.
+func (r *records) serverChange(id string, e store.Entry) backend.Change {
+	change := backend.Change{ID: id, Revision: int64(e.Revision)}
 	if e.Deleted {
-		r.catalog.Remove(id, int64(e.Revision), time.Now())
-		return
+		return change
 	}
 	s, err := r.decoder.Server(id, e)
 	if err != nil {
 		r.log.Warn("server record was not read", "server", id, "revision", e.Revision, "err", err)
-		r.catalog.Discard(id, int64(e.Revision))
-		return
+		change.Unusable = true
+		return change
 	}
-	r.catalog.Put(s)
+	change.Server = &s
+	return change
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -233,7 +233,7 @@
 		if s.ID == "a" {
 			leaving := *s
 			leaving.Draining = true
-			d.catalog.Put(leaving)
+			d.put(leaving)
 		}
 	}
 	for i := range 10 {
@@ -251,13 +251,16 @@
 	d := newDeployment(t, onceRoute)
 	d.limit.Ratio, d.limit.Allowance = 0, 0
 	d.addServer("b", serves)
-	d.catalog.Put(backend.Server{ID: "a", Service: "s", Addr: addr})
+	d.put(backend.Server{ID: "a", Service: "s", Addr: addr})
 	d.start()
 	for i := range 10 {
 		assert.Equal(t, d.send("POST", "/once/", fmt.Sprint("r", i)).status, http.StatusOK)
 	}
 }
 
+// leftBound is how long a server may work on after the caller has left.
+const leftBound = 500 * time.Millisecond
+
 func TestServerLearnsThatTheCallerLeft(t *testing.T) {
 	stopped := make(chan struct{})
 	d := newDeployment(t, onceRoute)
@@ -276,7 +279,11 @@
 		time.Sleep(time.Millisecond)
 	}
 	assert.NilError(t, c.Close())
-	<-stopped
+	select {
+	case <-stopped:
+	case <-time.After(leftBound):
+		t.Fatalf("the server still works %s after the caller has left", leftBound)
+	}
 }
 
 func TestTimeoutOfTheRouteIsKept(t *testing.T) {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -123,12 +123,17 @@
 	d.t.Cleanup(func() { d.ingress.Stop(context.Background()) })
 }
 
+// put adds or replaces the record of a server.
+func (d *deployment) put(s backend.Server) {
+	d.catalog.Apply([]backend.Change{{ID: s.ID, Server: &s}}, time.Now())
+}
+
 // addServer starts a server that follows a script for each request.
 func (d *deployment) addServer(id string, f script) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(d.t, err)
 	d.t.Cleanup(func() { l.Close() })
-	d.catalog.Put(backend.Server{ID: id, Service: "s", Addr: l.Addr().String()})
+	d.put(backend.Server{ID: id, Service: "s", Addr: l.Addr().String()})
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -119,13 +119,19 @@
 	}
 }
 
+// leftBound is how long a handler may work on after the caller has left.
+const leftBound = 500 * time.Millisecond
+
 func TestHandlerLearnsThatTheCallerLeft(t *testing.T) {
 	left := make(chan struct{})
 	begun := make(chan struct{})
 	s := start(t, func(ctx context.Context, _ *Request, w *Writer) {
 		close(begun)
-		<-ctx.Done()
-		close(left)
+		select {
+		case <-ctx.Done():
+			close(left)
+		case <-time.After(leftBound):
+		}
 		w.Abort()
 	})
 	c, _ := dial(t, s)
@@ -133,7 +139,11 @@
 	assert.NilError(t, err)
 	<-begun
 	assert.NilError(t, c.Close())
-	<-left
+	select {
+	case <-left:
+	case <-time.After(leftBound):
+		t.Fatalf("the handler still works %s after the caller has left", leftBound)
+	}
 }
 
 // TestAbortedAnswersDoNotLookWhole covers all framings.
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -48,6 +49,34 @@
 	assert.Assert(t, len(retries) > 10, "callers would come back together: %v", retries)
 }
 
+// TestFleetRefusesTheLeastUrgentFirst is the same burst over several daemons,
+// which share their loads every few requests: the order holds over all of them.
+func TestFleetRefusesTheLeastUrgentFirst(t *testing.T) {
+	const requests, shareEvery = 600, 10
+	for _, size := range sizes {
+		d := newDaemons(size)
+		all := servers(6)
+		refusedAt := map[int]int{}
+		firstAt := map[int]int{}
+		rnd := rand.New(rand.NewPCG(uint64(size), 0))
+		for i := range requests {
+			urgency := rnd.IntN(3)
+			if _, refusal := d.tracker(i%size).Place(now, all, season(i, urgency)); refusal != nil {
+				if refusedAt[urgency] == 0 {
+					firstAt[urgency] = i
+				}
+				refusedAt[urgency]++
+			}
+			if i%shareEvery == 0 {
+				d.round(now)
+			}
+		}
+		assert.Equal(t, refusedAt[0], 0, "%d daemons", size)
+		assert.Assert(t, refusedAt[2] > refusedAt[1], "%d daemons: %v", size, refusedAt)
+		assert.Assert(t, refusedAt[1] == 0 || firstAt[2] < firstAt[1], "%d daemons: first refused at %v", size, firstAt)
+	}
+}
+
 // TestSizeDoesNotDecide: a large request is refused for the work before it,
 // never for its own.
 func TestSizeDoesNotDecide(t *testing.T) {
