End a connection that a planned stop closes while it becomes idle

Ruled out: a lock around the deadline; reading the mark after setting it is enough, as the mark is never taken back.

Change: awaitRequest looks at the mark after it has set its deadline.

Before: TestConnectionClosedWhileItBecomesIdleEnds took 10 s; after: no time.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -96,4 +96,3 @@
 	}
 	return &statusError{http.StatusBadRequest, "request has too many trailers"}
 }
-
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -38,14 +38,17 @@
 	nc     net.Conn
 	br     *bufio.Reader
 	// idleSince is when the connection began to wait for a request, in
-	// nanoseconds; zero while a request is in progress, and closing once no
-	// request may begin.
+	// nanoseconds; zero while a request is in progress, and closing once the
+	// connection is being closed.
 	idleSince atomic.Int64
 }
 
 // closing marks a connection that is closed while idle.
 const closing = -1
 
+// longAgo as a deadline ends reads at once.
+var longAgo = time.Unix(1, 0)
+
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}
 	c.idleSince.Store(time.Now().UnixNano())
@@ -53,13 +56,13 @@
 }
 
 // closeIdle closes the connection unless a request has begun, and reports
-// whether it did. Bytes may have been read already; no request begins with them.
+// whether it did. Bytes of a request may have come already, see lastLook.
 func (c *conn) closeIdle() bool {
 	since := c.idleSince.Load()
 	if since <= 0 || !c.idleSince.CompareAndSwap(since, closing) {
 		return false
 	}
-	c.nc.SetReadDeadline(time.Unix(1, 0))
+	c.nc.SetReadDeadline(longAgo)
 	return true
 }
 
@@ -107,8 +110,9 @@
 	}
 	c.idleSince.CompareAndSwap(0, time.Now().UnixNano())
 	c.nc.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if c.server.closed.Load() {
+	if c.server.closed.Load() || c.idleSince.Load() == closing {
 		c.closeIdle()
+		c.nc.SetReadDeadline(longAgo) // The deadline above may have replaced that of the close.
 	}
 	if _, err := c.br.Peek(1); err != nil && !isTimeout(err) {
 		return false
@@ -169,7 +173,7 @@
 		}
 	}()
 	c.server.cfg.Handler(ctx, r, w)
-	c.nc.SetReadDeadline(time.Unix(1, 0)) // Ends the Peek.
+	c.nc.SetReadDeadline(longAgo) // Ends the Peek.
 	<-watched
 	c.nc.SetReadDeadline(time.Time{})
 }
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -106,4 +106,3 @@
 	}
 	return target
 }
-
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -113,3 +113,16 @@
 		assert.NilError(t, s.Stop(t.Context()))
 	}
 }
+
+// TestConnectionClosedWhileItBecomesIdleEnds: the stop may mark a connection
+// before its goroutine has set the deadline of an idle one.
+func TestConnectionClosedWhileItBecomesIdleEnds(t *testing.T) {
+	s := start(t, echo)
+	_, nc := net.Pipe()
+	c := newConn(s, nc)
+	s.CloseIdle()
+	assert.Assert(t, c.closeIdle())
+	begun := time.Now()
+	assert.Assert(t, !c.awaitRequest(Limits{IdleTimeout: 10 * time.Second}))
+	assert.Assert(t, time.Since(begun) < time.Second)
+}
