--- a/report/report_test.go
+++ b/report/report_test.go
@@ -27,18 +27,18 @@
 
 func TestFates(t *testing.T) {
 	for fields, want := range map[string]Fate{
-		`"outcome":"answered","status":200,"first_ms":50,"target_ms":50`:                                InTime,
-		`"outcome":"answered","status":200,"first_ms":51,"target_ms":50`:                                LateFirst,
-		`"outcome":"answered","status":200,"first_ms":51`:                                               InTime,
+		`"outcome":"answered","status":200,"first_ms":50,"target_ms":50`:                               InTime,
+		`"outcome":"answered","status":200,"first_ms":51,"target_ms":50`:                               LateFirst,
+		`"outcome":"answered","status":200,"first_ms":51`:                                              InTime,
 		`"outcome":"answered","status":200,"first_ms":5,"target_ms":50,"gap_ms":41,"gap_limit_ms":40`:  LateBetween,
 		`"outcome":"answered","status":200,"first_ms":51,"target_ms":50,"gap_ms":41,"gap_limit_ms":40`: LateFirst,
-		`"outcome":"answered","status":500`:                                                             ServerError,
-		`"outcome":"answered","status":404`:                                                             Rejected,
-		`"outcome":"refused","status":401`:                                                              Rejected,
-		`"outcome":"refused","status":503`:                                                              Refused,
-		`"outcome":"unknown","status":502`:                                                              Unknown,
-		`"outcome":"broken"`:                                                                            Broken,
-		`"outcome":"left"`:                                                                              Left,
+		`"outcome":"answered","status":500`:                                                            ServerError,
+		`"outcome":"answered","status":404`:                                                            Rejected,
+		`"outcome":"refused","status":401`:                                                             Rejected,
+		`"outcome":"refused","status":503`:                                                             Refused,
+		`"outcome":"unknown","status":502`:                                                             Unknown,
+		`"outcome":"broken"`:                                                                           Broken,
+		`"outcome":"left"`:                                                                             Left,
 	} {
 		l := read(t, line(1, fields))
 		assert.Equal(t, l.Requests[0].Fate(), want, fields)
