Wait for the spans of requests that have ended for their callers

A request's span ends after its caller has the answer, and closing the server does not wait for it.

Change: the test waits, up to 5 s, for the spans of both requests.

Conclusion: the test's own race.

--- a/forward/spans_test.go
+++ b/forward/spans_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
@@ -26,11 +27,8 @@
 	for len(d.runsOf("two")) == 0 {
 		assert.Equal(t, d.send("GET", "/", "two", "Traceparent", callersTrace).status, 200)
 	}
-	d.ingress.Stop(t.Context()) // The spans end before the connections do.
-	spans := exporter.GetSpans()
-	byName := map[string]int{}
+	spans, byName := waitSpans(t, exporter, 2)
 	for _, s := range spans {
-		byName[s.Name]++
 		assert.Equal(t, s.SpanContext.TraceID().String(), "0af7651916cd43dd8448eb211c80319c")
 	}
 	assert.Equal(t, byName["request"], 2)
@@ -40,6 +38,24 @@
 	assert.Equal(t, parentOf(spans, told[2]), "request")
 }
 
+// waitSpans waits until a number of requests has ended, which is after their
+// callers have the answers. It returns all spans and counts them by name.
+func waitSpans(t *testing.T, exporter *tracetest.InMemoryExporter, requests int) (tracetest.SpanStubs, map[string]int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		spans := exporter.GetSpans()
+		byName := map[string]int{}
+		for _, s := range spans {
+			byName[s.Name]++
+		}
+		if byName["request"] >= requests {
+			return spans, byName
+		}
+	}
+	t.Fatal("the requests did not end")
+	return nil, nil
+}
+
 // parentOf returns the name of the span above the one with an ID.
 func parentOf(spans tracetest.SpanStubs, id string) string {
 	for _, s := range spans {
