--- a/report/table.go
+++ b/report/table.go
@@ -18,7 +18,7 @@
 	Name  string
 	Asked int
 	Fates [fates]int
-	// Missing is the number of prompt tokens that servers had to read, Offered
+	// Missing is the number of prompt tokens that servers did not hold, Offered
 	// the number that callers sent.
 	Missing, Offered int64
 	backlog          int64
@@ -102,16 +102,16 @@
 
 var digits = regexp.MustCompile(`[0-9]+`)
 
-// lossReason is the reason of a request that was lost, without its figures.
+// lossReason is the reason of a request that was lost, without addresses and
+// figures, or "" for one that was answered.
 func lossReason(r *Request) string {
 	if f := r.Fate(); f == InTime || f == LateFirst || f == LateBetween {
 		return ""
 	}
-	reason, _, _ := strings.Cut(r.Reason, ": read tcp")
-	if reason == "" {
-		reason = fmt.Sprintf("status %d", r.Status)
-		return reason
+	if r.Reason == "" {
+		return fmt.Sprintf("status %d", r.Status)
 	}
+	reason, _, _ := strings.Cut(r.Reason, ": read tcp")
 	return digits.ReplaceAllString(reason, "N")
 }
 
