Count the bytes of bodies as they come and take no memory for a stated length

Cause, found by reading: a body was checked against the bound on all bodies before it was read and counted after it, so that any number could be read at once, and memory for its stated length was taken at its head. Eight callers who stated 4 MB and sent nothing took 33 MB, of the 284 MB that a host has.

Ruled out: reserving the stated length; callers who send slowly would have others refused.

Change: a reader counts what comes, over all connections; the first 64 KB are taken at once, more as it comes. The comment on bodyTimeout says what it bounds. The pause of the refusal has a name.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -35,19 +35,50 @@
 	return &statusError{http.StatusRequestEntityTooLarge, fmt.Sprintf("request body exceeds %d bytes", limits.BodyBytes)}
 }
 
-// collect reads a body into memory, of which the server has a bounded amount
-// for bodies.
-func (c *conn) collect(head *http.Request, limits Limits) ([]byte, error) {
-	var buf bytes.Buffer
-	if n := head.ContentLength; n > 0 {
-		buf.Grow(int(n))
+// bodyGrowth is the memory taken for a body before any of it has come. Longer
+// ones take more as their bytes come, so that a stated length alone costs little.
+const bodyGrowth = 64 << 10
+
+// bodiesRetry is the pause, in seconds, that callers are told when too many
+// bytes are held: most bodies are read and passed on sooner.
+const bodiesRetry = "0.5"
+
+var errTooManyBytes = &statusError{http.StatusServiceUnavailable, "too many request bytes are held"}
+
+// countedReader counts the bytes that it reads as held by the server, which
+// bounds them over all connections.
+type countedReader struct {
+	io.Reader
+	server *Server
+	held   int64
+}
+
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.held += int64(n)
+	if r.server.bodies.Add(int64(n)) > r.server.cfg.MaxBodies {
+		return n, errTooManyBytes
 	}
-	held := c.server.bodies.Load()
-	if held+max(head.ContentLength, 0) > c.server.cfg.MaxBodies {
-		return nil, &statusError{http.StatusServiceUnavailable, "too many request bytes are held"}
+	return n, err
+}
+
+// collect reads a body into memory. Its bytes count as held until the request
+// has ended, or until the reading fails.
+func (c *conn) collect(head *http.Request, limits Limits) ([]byte, error) {
+	counted := &countedReader{Reader: c.bodyReader(head), server: c.server}
+	body, err := c.readCounted(counted, head, limits)
+	if err != nil {
+		c.server.bodies.Add(-counted.held)
+		return nil, err
 	}
+	return body, nil
+}
+
+func (c *conn) readCounted(counted *countedReader, head *http.Request, limits Limits) ([]byte, error) {
+	var buf bytes.Buffer
+	buf.Grow(int(min(max(head.ContentLength, 0), bodyGrowth)))
 	c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	n, err := io.Copy(&buf, io.LimitReader(c.bodyReader(head), int64(limits.BodyBytes)+1))
+	n, err := io.Copy(&buf, io.LimitReader(counted, int64(limits.BodyBytes)+1))
 	if n > int64(limits.BodyBytes) {
 		return nil, tooLarge(limits)
 	}
@@ -60,7 +91,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the request body: %w", err)
 	}
-	c.server.bodies.Add(n)
 	return buf.Bytes(), nil
 }
 
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -12,7 +12,7 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// bodyTimeout bounds the time between two reads of a request's body.
+	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 10 * time.Second
 )
 
@@ -154,7 +154,7 @@
 	w := &Writer{conn: c, proto11: true, close: true}
 	h := http.Header{}
 	if status.status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", "0.5")
+		h.Set("Retry-After", bodiesRetry)
 	}
 	w.Answer(status.status, h, []byte(status.reason+"\n"))
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -19,9 +19,14 @@
 var testLimits = Limits{HeaderBytes: 2000, BodyBytes: 10000, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 5 * time.Second}
 
 func start(t *testing.T, h Handler) *Server {
+	t.Helper()
+	return startLimited(t, h, testLimits)
+}
+
+func startLimited(t *testing.T, h Handler, l Limits) *Server {
 	t.Helper()
 	s := New(Config{
-		Addr: "127.0.0.1:0", Handler: h, Limits: func() Limits { return testLimits },
+		Addr: "127.0.0.1:0", Handler: h, Limits: func() Limits { return l },
 		MaxConns: 10, MaxBodies: 1 << 20, Log: log.New(io.Discard), Metrics: metrics.NewRegistry(),
 	})
 	assert.NilError(t, s.Start(t.Context()))
