Use the field's terms in placement and the catalog, and bound remembered parts

A server's remembered prompt parts were bounded only if some were older than a second.

Change: records expire, servers are reserved for requests with tight pauses, requests have a longest wait; the log field is max_wait_ms and one message says expired. Parts beyond the bound are dropped whatever their age.

Before: TestPartsOfAServerAreBounded fails; after: passes.

Conclusion: names, and one bound.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -11,10 +11,10 @@
 	"github.com/charmbracelet/log"
 )
 
-// lapseGrace is how long after the store's return a server without a record
-// counts as live: records lapse while the store is away, and live servers write
+// expiryGrace is how long after the store's return a server without a record
+// counts as live: records expire while the store is away, and live servers write
 // them again within about two seconds.
-const lapseGrace = 2 * time.Second
+const expiryGrace = 2 * time.Second
 
 // Server is a backend server as its record describes it. It is immutable.
 type Server struct {
@@ -52,10 +52,10 @@
 
 	mu      sync.Mutex
 	servers map[string]*Server
-	// lapsed holds the servers whose records vanished while the store was away.
-	lapsed map[string]bool
-	away   bool
-	// settled is when lapsed servers count as gone.
+	// expired holds the servers whose records vanished while the store was away.
+	expired map[string]bool
+	away    bool
+	// settled is when expired servers count as gone.
 	settled time.Time
 }
 
@@ -66,7 +66,7 @@
 
 // NewCatalog returns an empty catalog.
 func NewCatalog(logger *log.Logger) *Catalog {
-	c := &Catalog{log: logger, servers: map[string]*Server{}, lapsed: map[string]bool{}, away: true}
+	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}, away: true}
 	c.publish()
 	return c
 }
@@ -121,7 +121,7 @@
 // large deployment most records only say that a server lives.
 func (c *Catalog) put(s *Server) bool {
 	old := c.servers[s.ID]
-	delete(c.lapsed, s.ID)
+	delete(c.expired, s.ID)
 	if old != nil && old.sameAs(s) {
 		return false
 	}
@@ -139,7 +139,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.servers[s.ID]
-	return old != nil && !c.lapsed[s.ID] && old.sameAs(s)
+	return old != nil && !c.expired[s.ID] && old.sameAs(s)
 }
 
 // sameAs reports whether two records of a server differ in their revision only.
@@ -150,12 +150,12 @@
 }
 
 // remove takes a server out whose record is gone. While the store is away and
-// shortly after, the server stays, as its record may only have lapsed.
+// shortly after, the server stays, as its record may only have expired.
 func (c *Catalog) remove(id string, revision int64, now time.Time) bool {
 	s := c.servers[id]
 	if s != nil && (c.away || now.Before(c.settled)) && !s.Draining {
-		c.lapsed[id] = true
-		c.log.Info("backend server record lapsed, keeping the server for now", "server", id, "revision", revision)
+		c.expired[id] = true
+		c.log.Info("backend server record expired, keeping the server for now", "server", id, "revision", revision)
 		return false
 	}
 	return c.drop(id, revision)
@@ -167,7 +167,7 @@
 		return false
 	}
 	delete(c.servers, id)
-	delete(c.lapsed, id)
+	delete(c.expired, id)
 	c.log.Info("backend server gone", "server", id, "revision", revision)
 	return true
 }
@@ -181,18 +181,18 @@
 	}
 	c.away = away
 	if !away {
-		c.settled = now.Add(lapseGrace)
+		c.settled = now.Add(expiryGrace)
 	}
 }
 
-// Settle drops the lapsed servers whose time is over. It is called regularly.
+// Settle drops the expired servers whose time is over. It is called regularly.
 func (c *Catalog) Settle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.away || len(c.lapsed) == 0 || now.Before(c.settled) {
+	if c.away || len(c.expired) == 0 || now.Before(c.settled) {
 		return
 	}
-	for id := range c.lapsed {
+	for id := range c.expired {
 		c.drop(id, 0)
 	}
 	c.publish()
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -45,10 +45,10 @@
 	assert.Assert(t, !c.Known(Life{ID: "a"}))
 }
 
-// TestRecordsThatLapseInAnOutageStayUntilTheGraceIsOver: records of live
+// TestRecordsThatExpireInAnOutageStayUntilTheGraceIsOver: records of live
 // servers are back within two seconds of the store's return; what is missing
 // then is gone.
-func TestRecordsThatLapseInAnOutageStayUntilTheGraceIsOver(t *testing.T) {
+func TestRecordsThatExpireInAnOutageStayUntilTheGraceIsOver(t *testing.T) {
 	c := newCatalog(Server{ID: "back", Service: "s"}, Server{ID: "gone", Service: "s"}, Server{ID: "left", Service: "s", Draining: true})
 	c.SetStoreAway(true, start)
 	remove(c, "left", 1, start)
@@ -57,10 +57,10 @@
 	c.SetStoreAway(false, returned)
 	remove(c, "back", 2, returned)
 	remove(c, "gone", 3, returned.Add(time.Second))
-	c.Settle(returned.Add(lapseGrace - time.Millisecond))
+	c.Settle(returned.Add(expiryGrace - time.Millisecond))
 	assert.DeepEqual(t, ids(c.Ready("s")), []string{"back", "gone"})
 	put(c, Server{ID: "back", Service: "s"})
-	c.Settle(returned.Add(lapseGrace))
+	c.Settle(returned.Add(expiryGrace))
 	assert.DeepEqual(t, ids(c.Ready("s")), []string{"back"})
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -112,26 +112,26 @@
 		memory = s.Engine.MemoryTokens
 	}
 	return q.cfg.Tracker.Place(time.Now(), left, placement.Want{
-		Memory: memory, Patience: q.patience(),
+		Memory: memory, MaxWait: q.maxWait(),
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
 		Gap:   q.route.GapTarget,
 		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.TightestGap(q.service),
 	})
 }
 
-// patience is how long the request may wait at a server for the work before it.
+// maxWait is how long the request may wait at a server for the work before it.
 // One that has run somewhere goes on wherever it can.
-func (q *request) patience() time.Duration {
+func (q *request) maxWait() time.Duration {
 	if q.attempts > 0 {
 		return 0
 	}
-	return placement.PatienceOf(q.route.Target, q.urgency)
+	return placement.MaxWaitOf(q.route.Target, q.urgency)
 }
 
 // turnAway answers a request that all servers are too busy for.
 func (q *request) turnAway(ctx context.Context, r *placement.Refusal) {
 	q.cfg.Log.Info("request refused, servers are too far behind", "request_id", q.meta.ID, "service", q.service, "urgency", q.urgency,
-		"wait_ms", r.Wait.Milliseconds(), "patience_ms", r.Patience.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
+		"wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
 	if ctx.Err() != nil {
 		q.giveUp(ctx, try{fate: notRun, err: errBusy})
 		return
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -9,7 +9,7 @@
 // without a pause makes every event of its streams late, so that they stay
 // longer, and more of them share the pace until nobody is in time. Work that
 // would wait beyond what it is worth makes the others late and gains nothing.
-// The least urgent requests are refused first, as they have the least patience.
+// The least urgent requests are refused first, as they wait for the shortest time.
 // Only the work before a request counts and not its own size, so that large
 // requests are refused no more often than small ones.
 
@@ -17,9 +17,9 @@
 	// memoryShare is the part of a server's memory that placed requests may
 	// fill; beyond it running requests are preempted and read again.
 	memoryShare = 0.95
-	// basePatience is how many times its objective a request of urgency 1 waits
+	// baseMaxWait is how many times its objective a request of urgency 1 waits
 	// for others' prompts to be read.
-	basePatience = 2.0
+	baseMaxWait = 2.0
 	// paceStart is the reading pace taken before any is seen, in tokens a
 	// millisecond.
 	paceStart = 30.0
@@ -42,20 +42,20 @@
 type Refusal struct {
 	// Wait is the wait at the best server.
 	Wait time.Duration
-	// Patience is the longest wait that the request is worth.
-	Patience time.Duration
+	// MaxWait is the longest wait that the request is worth.
+	MaxWait time.Duration
 	// RetryAfter is when a server is likely to take it.
 	RetryAfter time.Duration
 }
 
-// PatienceOf returns how long a request with an objective waits for the work
+// MaxWaitOf returns how long a request with an objective waits for the work
 // before it, or zero for the most urgent ones: servers begin these before what
 // waits there.
-func PatienceOf(target time.Duration, urgency int) time.Duration {
+func MaxWaitOf(target time.Duration, urgency int) time.Duration {
 	if urgency <= 0 {
 		return 0
 	}
-	return time.Duration(basePatience * float64(target) / float64(urgency*urgency))
+	return time.Duration(baseMaxWait * float64(target) / float64(urgency*urgency))
 }
 
 // wait is how long a server reads before it begins a new request.
@@ -65,7 +65,7 @@
 
 // takes reports whether a server is worth sending the request to.
 func (c *Candidate) takes(want *Want) bool {
-	if want.Patience > 0 && c.wait() > want.Patience {
+	if want.MaxWait > 0 && c.wait() > want.MaxWait {
 		return false
 	}
 	return c.fits(want)
@@ -85,7 +85,7 @@
 // Another server would have to read again what this one holds, which costs all
 // requests more than it gains this one.
 func admit(chosen *Candidate, want *Want, rnd *rand.Rand) *Refusal {
-	if want.Patience == 0 || len(want.Prompt) == 0 || chosen.Suspended || chosen.takes(want) {
+	if want.MaxWait == 0 || len(want.Prompt) == 0 || chosen.Suspended || chosen.takes(want) {
 		return nil
 	}
 	return refusal(chosen, want, rnd)
@@ -95,9 +95,9 @@
 // which the backlog is read, so that they do not return together.
 func refusal(chosen *Candidate, want *Want, rnd *rand.Rand) *Refusal {
 	wait := chosen.wait()
-	excess := max(0, wait-want.Patience/2)
+	excess := max(0, wait-want.MaxWait/2)
 	retry := time.Duration(float64(excess) * (0.5 + rnd.Float64()))
-	return &Refusal{Wait: wait, Patience: want.Patience, RetryAfter: min(maxRetry, max(minRetry, retry))}
+	return &Refusal{Wait: wait, MaxWait: want.MaxWait, RetryAfter: min(maxRetry, max(minRetry, retry))}
 }
 
 // pace learns how quickly prompts are read.
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -12,16 +12,16 @@
 // season is a long request of the least urgent class.
 func season(i int, urgency int) Want {
 	w := long(fmt.Sprint("archive-", i%7), i)
-	w.Patience = PatienceOf(1500*time.Millisecond, urgency)
+	w.MaxWait = MaxWaitOf(1500*time.Millisecond, urgency)
 	w.Memory = 600000
 	return w
 }
 
-func TestUrgentRequestsHaveMorePatience(t *testing.T) {
+func TestUrgentRequestsHaveLongerMaxWait(t *testing.T) {
 	const target = 500 * time.Millisecond
-	assert.Equal(t, PatienceOf(target, 0), time.Duration(0), "no limit")
+	assert.Equal(t, MaxWaitOf(target, 0), time.Duration(0), "no limit")
 	for urgency := 1; urgency < 9; urgency++ {
-		assert.Assert(t, PatienceOf(target, urgency) > PatienceOf(target, urgency+1))
+		assert.Assert(t, MaxWaitOf(target, urgency) > MaxWaitOf(target, urgency+1))
 	}
 }
 
@@ -83,7 +83,7 @@
 	tracker := newTracker(1)
 	huge := Want{
 		Prompt: []Part{NewPart("own", 90000)}, TokensIn: 90000, TokensOut: 400, Memory: 600000,
-		Patience: PatienceOf(1500*time.Millisecond, 2),
+		MaxWait: MaxWaitOf(1500*time.Millisecond, 2),
 	}
 	f, refusal := tracker.Place(now, servers(4), huge)
 	assert.Assert(t, refusal == nil)
--- a/placement/pause_test.go
+++ b/placement/pause_test.go
@@ -33,7 +33,7 @@
 	w := chat(1)
 	w.Gap = 200 * time.Millisecond
 	candidates := []Candidate{
-		{Server: server(0), Calm: true, Pace: 30, Slowness: 1, Pause: 230 * time.Millisecond},
+		{Server: server(0), Reserved: true, Pace: 30, Slowness: 1, Pause: 230 * time.Millisecond},
 		{Server: server(1), Pace: 30, Slowness: 1, Pause: 190 * time.Millisecond},
 	}
 	rnd := rand.New(rand.NewPCG(1, 1))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,9 +44,9 @@
 	// Memory is the number of tokens that a server of the service holds; zero
 	// means that it is not known.
 	Memory int
-	// Patience is how long the request waits for the work before it; zero means
+	// MaxWait is how long the request waits for the work before it; zero means
 	// that it takes any server.
-	Patience time.Duration
+	MaxWait time.Duration
 	// Domain is the failure domain of the local daemon.
 	Domain string
 }
@@ -72,9 +72,9 @@
 	ErrorShare float64
 	// Pause is the longest pause between events seen lately.
 	Pause time.Duration
-	// Calm servers are kept for requests whose events must come in quick
+	// Reserved servers are kept for requests whose events must come in quick
 	// succession.
-	Calm bool
+	Reserved bool
 	// Suspended servers have just failed and are taken only if no other is left.
 	Suspended bool
 }
@@ -90,10 +90,10 @@
 	missWeight     = 6.0
 	missBacklog    = 4000.0
 	missWeightMost = 30.0
-	// restlessTokens is the cost of a server that is not calm for requests that
+	// unreservedTokens is the cost of a server that is not reserved for requests that
 	// need one.
-	restlessTokens = 4000.0
-	// disturbWeight is what a token to read costs a calm server besides.
+	unreservedTokens = 4000.0
+	// disturbWeight is what a token to read costs a reserved server besides.
 	disturbWeight = 4.0
 	// homeDiscount makes daemons that do not know yet who holds a part agree on
 	// where to send it.
@@ -148,7 +148,7 @@
 			miss *= homeDiscount
 		}
 		cost = c.Reading + pool.missWeight*miss + runningTokens*c.Running + tightShare*c.Tight*miss
-		if c.Calm != want.Tight {
+		if c.Reserved != want.Tight {
 			cost += misplacedTokens(want, miss)
 		}
 		cost += c.pauseCost(&want)
@@ -163,11 +163,11 @@
 	return cost + errorTokens*max(0, c.ErrorShare-pool.errorShare)
 }
 
-// misplacedTokens is the cost of a request that needs a calm server elsewhere,
-// or of another request at a calm server.
+// misplacedTokens is the cost of a request that needs a reserved server elsewhere,
+// or of another request at a reserved server.
 func misplacedTokens(want Want, miss float64) float64 {
 	if want.Tight {
-		return restlessTokens
+		return unreservedTokens
 	}
 	return disturbWeight * miss
 }
@@ -204,7 +204,7 @@
 	key := want.Prompt[len(want.Prompt)-2].Hash
 	best, bestScore := -1, uint64(0)
 	for i, c := range candidates {
-		if c.Suspended || c.Calm && !want.Tight {
+		if c.Suspended || c.Reserved && !want.Tight {
 			continue
 		}
 		score := mix(key ^ xxhash.Sum64String(c.Server.ID))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -259,3 +259,16 @@
 func TestNoServersNoPlace(t *testing.T) {
 	assert.Assert(t, place(newTracker(1), now, nil, chat(1)) == nil)
 }
+
+// TestPartsOfAServerAreBounded: many parts within a second are as many as in
+// half a minute.
+func TestPartsOfAServerAreBounded(t *testing.T) {
+	tracker := newTracker(1)
+	all := servers(1)
+	for i := range 3 * maxParts {
+		f := place(tracker, now, all, chat(i))
+		f.Heard(now)
+		f.End(now, Served)
+	}
+	assert.Assert(t, len(tracker.state(all[0].Life()).parts) <= maxParts)
+}
--- a/placement/reserved.go
+++ b/placement/reserved.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Why some servers are kept calm: a server reads prompts in pieces between the
+// Why some servers are reserved: a server reads prompts in pieces between the
 // steps of the requests that run there, so a long prompt stretches every pause
 // between their events. Requests whose events must come in quick succession are
 // gathered at a few servers, as many as their share of the work needs, and long
@@ -16,26 +16,26 @@
 // hashing, without a message.
 
 const (
-	// calmSalt makes the choice of calm servers independent of other hashes.
-	calmSalt = 0x9e3779b97f4a7c15
-	// calmHeadroom is how much more than their share of the work calm servers
-	// carry, so that they stay calm in a burst.
-	calmHeadroom = 1.0
-	// calmDefault is the share of the servers kept calm before the work is known.
-	calmDefault = 0.25
-	// calmMost bounds the share of calm servers.
-	calmMost = 0.6
+	// reservedSalt makes the choice of reserved servers independent of other hashes.
+	reservedSalt = 0x9e3779b97f4a7c15
+	// reservedHeadroom is how much more than their share of the work reserved servers
+	// carry, so that they have room in a burst.
+	reservedHeadroom = 1.0
+	// reservedDefault is the share of the servers reserved before the work is known.
+	reservedDefault = 0.25
+	// reservedMost bounds the share of reserved servers.
+	reservedMost = 0.6
 	// outputWeight is the work of a generated token beside one that is read.
 	outputWeight = 10.0
 	// demandHalfLife is how quickly the shares follow the traffic.
 	demandHalfLife = 4 * time.Second
 	// demandEnough is the work, in tokens, from which the shares are trusted.
 	demandEnough = 100000.0
-	// minCalmPool is the number of servers from which some are kept calm.
-	minCalmPool = 4
+	// minReservedPool is the number of servers from which some are reserved.
+	minReservedPool = 4
 )
 
-// demand follows which part of the work needs calm servers.
+// demand follows which part of the work needs reserved servers.
 type demand struct {
 	tight, all float64
 	when       time.Time
@@ -59,20 +59,20 @@
 	d.when = now
 }
 
-// calmCount is the number of servers to keep calm among n.
-func (d *demand) calmCount(n int) int {
-	if n < minCalmPool {
+// reservedCount is the number of servers to reserve among n.
+func (d *demand) reservedCount(n int) int {
+	if n < minReservedPool {
 		return 0
 	}
-	share := calmDefault
+	share := reservedDefault
 	if d.all >= demandEnough {
-		share = min(calmMost, calmHeadroom*d.tight/d.all)
+		share = min(reservedMost, reservedHeadroom*d.tight/d.all)
 	}
 	return int(math.Round(share * float64(n)))
 }
 
-// markCalm marks the calm servers among the candidates.
-func markCalm(candidates []Candidate, count int) {
+// markReserved marks the reserved servers among the candidates.
+func markReserved(candidates []Candidate, count int) {
 	if count <= 0 {
 		return
 	}
@@ -82,7 +82,7 @@
 	}
 	order := make([]ranked, len(candidates))
 	for i, c := range candidates {
-		order[i] = ranked{i, mix(calmSalt ^ xxhash.Sum64String(c.Server.ID))}
+		order[i] = ranked{i, mix(reservedSalt ^ xxhash.Sum64String(c.Server.ID))}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		if a.score > b.score {
@@ -91,6 +91,6 @@
 		return 1
 	})
 	for _, r := range order[:min(count, len(order))] {
-		candidates[r.index].Calm = true
+		candidates[r.index].Reserved = true
 	}
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -14,6 +14,8 @@
 	// suspendMin and suspendMax bound how long a failed server gets nothing.
 	suspendMin = 200 * time.Millisecond
 	suspendMax = 3 * time.Second
+	// suspendDoublings is the number of failures in a row that lengthen the pause.
+	suspendDoublings = 6
 	// quietAfter is how long a server with requests may send nothing before it
 	// is avoided: a server that has gone dark answers neither way.
 	quietAfter = 800 * time.Millisecond
@@ -112,7 +114,7 @@
 	}
 	if len(want.Prompt) > 0 {
 		t.demand.fade(now)
-		markCalm(candidates, t.demand.calmCount(len(candidates)))
+		markReserved(candidates, t.demand.reservedCount(len(candidates)))
 	}
 	i := Choose(now, candidates, want, t.rnd)
 	if i < 0 {
@@ -213,7 +215,8 @@
 	}
 }
 
-// forgetParts drops the parts that were not used lately.
+// forgetParts drops the parts that were not used lately, and any of the rest if
+// there are still too many.
 func (st *state) forgetParts(now time.Time) {
 	for age := partAge; len(st.parts) > maxParts/2 && age > time.Second; age /= 2 {
 		for id, used := range st.parts {
@@ -222,6 +225,12 @@
 			}
 		}
 	}
+	for id := range st.parts {
+		if len(st.parts) <= maxParts/2 {
+			return
+		}
+		delete(st.parts, id)
+	}
 }
 
 // Forget drops the servers that are not known any more and have no requests.
@@ -312,7 +321,7 @@
 
 // suspend keeps requests away for longer after each failure in a row.
 func (st *state) suspend(now time.Time) time.Duration {
-	pause := min(suspendMax, suspendMin<<min(st.failures, 6))
+	pause := min(suspendMax, suspendMin<<min(st.failures, suspendDoublings))
 	st.suspended = now.Add(pause)
 	st.failures++
 	return pause
