Make servers known before the configuration that came with them

Since records of servers are applied in a batch, a configuration in the same batch came into force first, and a daemon says that it takes callers once it has one: a request in between found no server.

Ruled out: the test's own order; the store had all records before the daemon began.

Change: a batch's servers are applied before its configurations.

Before: TestServersAreKnownBeforeTheConfiguration finds no server; after: one.

Conclusion: a daemon that has just started refused requests for as long as it read the records of servers.

--- a/entry/records.go
+++ b/entry/records.go
@@ -24,17 +24,22 @@
 // Table returns the configuration in force, or nil.
 func (r *records) Table() *route.Table { return r.table.Load() }
 
-// apply takes over changes in the order of their revisions.
+// apply takes over changes, servers before configurations: callers come once
+// there is a configuration.
 func (r *records) apply(changes []store.Entry) {
 	var servers []backend.Change
+	var configs []store.Entry
 	for _, e := range changes {
 		if e.Key == ConfigKey {
-			r.applyConfig(e)
+			configs = append(configs, e)
 		} else if id, ok := strings.CutPrefix(e.Key, ServersPrefix); ok {
 			servers = append(servers, r.serverChange(id, e))
 		}
 	}
 	r.catalog.Apply(servers, time.Now())
+	for _, e := range configs {
+		r.applyConfig(e)
+	}
 }
 
 // renews reports whether a record only says that a server still lives.
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -44,6 +44,16 @@
 	return store.Entry{Key: ConfigKey, Value: []byte(version), Revision: revision}
 }
 
+// TestServersAreKnownBeforeTheConfiguration: a daemon takes callers once it has
+// a configuration, so the servers that came with it must be known by then.
+func TestServersAreKnownBeforeTheConfiguration(t *testing.T) {
+	r := newRecords()
+	known := 0
+	r.inForce = func(route.Version) { known = len(r.catalog.Ready("s")) }
+	r.apply([]store.Entry{config("1", 1), {Key: ServersPrefix + "a", Value: []byte("s"), Revision: 2}})
+	assert.Equal(t, known, 1)
+}
+
 // TestConfigurationsOnlyGoUp: neither an older version, nor one that can't be
 // read, nor a deletion changes what is in force.
 func TestConfigurationsOnlyGoUp(t *testing.T) {
