--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -5,13 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +20,7 @@
 	"github.com/jacinththread/jacinththread/bundle"
 	"github.com/jacinththread/jacinththread/ctl/client"
 	"github.com/jacinththread/jacinththread/internal/logtest"
+	"github.com/jacinththread/jacinththread/internal/proctest"
 	"github.com/jacinththread/jacinththread/internal/standin/engine"
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	standinplatform "github.com/jacinththread/jacinththread/internal/standin/platform"
@@ -129,7 +127,7 @@
 func (d *deployment) newSettings(name string) *settings.Settings {
 	s := settings.Defaults()
 	s.Name, s.Region, s.Domain = name, region, "prai"
-	ports := freePorts(d.t, 3)
+	ports := []string{proctest.FreeAddr(d.t), proctest.FreeAddr(d.t), proctest.FreeAddr(d.t)}
 	s.Listen = settings.Listen{Callers: ports[0], Peers: ports[1], Operators: ports[2]}
 	s.Platform.URL = d.platformURL
 	s.Peers.Keys = []string{testKey}
@@ -143,38 +141,6 @@
 	return s
 }
 
-// Daemons of tests listen below the range from which the system takes ports for
-// outgoing connections, so that none of those takes a port that was found free.
-const (
-	firstPort = 24_000
-	portCount = 8_000
-)
-
-// lastPort spreads the tests of several processes over the ports.
-var lastPort atomic.Uint32
-
-func init() { lastPort.Store(rand.Uint32N(portCount)) }
-
-// freePorts returns loopback addresses that nothing listens on.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	var addrs []string
-	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
-		ln, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, ln.Close())
-		addrs = append(addrs, addr)
-		if len(addrs) == n {
-			return addrs
-		}
-	}
-	t.Fatal("no port is free")
-	return nil
-}
-
 // start starts n more daemons.
 func (d *deployment) start(n int) {
 	d.t.Helper()
--- a/test/deploy_test.go
+++ b/test/deploy_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -76,33 +75,9 @@
 	plains   []*backend
 }
 
-// Ports of processes are below those that the system gives out, so that no
-// relay or connection takes one before its process listens.
-const (
-	firstPort = 20_000
-	portRange = 10_000
-)
-
-var nextPort = os.Getpid()
-
-// freeAddr returns a loopback address that nobody listens on now.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	for range portRange {
-		nextPort++
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%portRange))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no loopback port is free")
-	return ""
-}
-
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, platform: freeAddr(t)}
+	d := &deployment{t: t, platform: proctest.FreeAddr(t)}
 	proctest.Start(t, "platform", program("standin"), "platform", "--listen", d.platform)
 	for i := range 4 {
 		d.engines = append(d.engines, d.startBackend(llmService, fmt.Sprintf("llm-%c%d", "ab"[i%2], i), "engine"))
@@ -130,14 +105,14 @@
 }
 
 func (d *deployment) startBackend(service, name, kind string) *backend {
-	b := &backend{name: name, service: service, addr: freeAddr(d.t)}
+	b := &backend{name: name, service: service, addr: proctest.FreeAddr(d.t)}
 	proctest.Start(d.t, name, program("standin"), kind, "--listen", b.addr, "--name", name)
 	b.relay = startRelay(d.t, b.addr)
 	return b
 }
 
 func (d *deployment) plan(name, domain string) *daemon {
-	m := &daemon{name: name, domain: domain, callers: freeAddr(d.t), peers: freeAddr(d.t), operators: freeAddr(d.t)}
+	m := &daemon{name: name, domain: domain, callers: proctest.FreeAddr(d.t), peers: proctest.FreeAddr(d.t), operators: proctest.FreeAddr(d.t)}
 	m.relay = startRelay(d.t, m.peers)
 	return m
 }
