Log the urgency and the assumed load of a request, and whose word about the store is taken

On call, the logs could not tell the hypotheses on the incidents apart: a daemon that leaves watching to others adopts from a peer whether the store is available, without a line, and no line said with what urgency a request was sent or how many requests the daemon assumed at its server.

'request done' now has urgency, running and memory_tokens; 'availability of the store taken from a peer' names the peer. No decision changes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -95,7 +95,7 @@
 		return attemptResult{}, false
 	}
 	q.lastServer = inFlight.Server
-	q.backlogTokens, q.uncachedTokens = inFlight.BacklogTokens, inFlight.UncachedTokens
+	q.estimate = inFlight.Estimate
 	q.tried[inFlight.Server.Instance()] = true
 	return q.send(ctx, inFlight), true
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -184,10 +184,8 @@
 	// longest time between two writes of such bytes.
 	lastRelayAt time.Time
 	longestGap  time.Duration
-	// backlogTokens is the number of prompt tokens queued at the chosen server
-	// ahead of this request, uncachedTokens the number of this request's prompt
-	// tokens that the server had not cached.
-	backlogTokens, uncachedTokens int
+	// estimate is what was assumed about the chosen server at the last placement.
+	estimate placement.Estimate
 	// readyServers is the number of ready servers at the last placement.
 	readyServers int
 }
@@ -279,8 +277,8 @@
 		"server", server, "sends", q.sends, "attempts", q.attempts, "took_ms", took.Milliseconds(),
 		"first_ms", q.timeToFirstByte().Milliseconds(), "gap_ms", q.longestGap.Milliseconds(),
 		"target_ms", target.Milliseconds(), "gap_limit_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
-		"backlog_tokens", q.backlogTokens, "missing_tokens", q.uncachedTokens, "config", int64(version),
-		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds())
+		"urgency", q.urgency, "backlog_tokens", q.estimate.BacklogTokens, "missing_tokens", q.estimate.UncachedTokens,
+		"running", q.estimate.Running, "memory_tokens", q.estimate.MemoryTokens, "config", int64(version), "servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds())
 }
 
 // timeToFirstByte returns the time from arrival to the first relayed byte of
--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -142,8 +142,8 @@
 	resp := m.(*response)
 	status := x.copy.Status()
 	now := time.Now()
-	if !status.StoreUnavailable && !x.watchers().Self {
-		x.copy.SetStoreUnavailable(resp.StoreUnavailable, now)
+	if !status.StoreUnavailable && !x.watchers().Self && x.copy.SetStoreUnavailable(resp.StoreUnavailable, now) {
+		x.log.Info("availability of the store taken from a peer", "daemon", from, "unavailable", resp.StoreUnavailable, "revision", resp.At, "age_ms", resp.AgeMs)
 	}
 	asOf := now.Add(-time.Duration(resp.AgeMs) * time.Millisecond)
 	at := store.Revision(resp.At)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -204,7 +204,8 @@
 	t.demand.add(now, req.Tight, float64(uncached)+outputWeight*float64(req.TokensOut))
 	f := &InFlight{
 		tracker: t, Server: s, placedAt: now, tight: req.Tight,
-		pendingTokens: uncached, used: int(memoryTokens(&req)), UncachedTokens: uncached, BacklogTokens: int(c.Backlog),
+		pendingTokens: uncached, used: int(memoryTokens(&req)),
+		Estimate: Estimate{UncachedTokens: uncached, BacklogTokens: int(c.Backlog), Running: int(c.Running), MemoryTokens: int(c.MemoryUsed)},
 	}
 	if st.running == 0 {
 		st.lastActivity = now
@@ -264,17 +265,26 @@
 	}
 }
 
-// InFlight is a request in flight at a server.
-type InFlight struct {
-	tracker *Tracker
-	Server  *backend.Server
+// Estimate is what was assumed about a server when a request was placed on it.
+type Estimate struct {
 	// UncachedTokens is the number of prompt tokens that the server did not have
 	// cached.
 	UncachedTokens int
 	// BacklogTokens is the number of prompt tokens that the server had to read
 	// before this request.
 	BacklogTokens int
-	placedAt      time.Time
+	// Running is the number of other requests at the server, of all daemons.
+	Running int
+	// MemoryTokens is the memory that these requests need, in tokens.
+	MemoryTokens int
+}
+
+// InFlight is a request in flight at a server.
+type InFlight struct {
+	tracker *Tracker
+	Server  *backend.Server
+	Estimate
+	placedAt time.Time
 	// lastEvent is when the server last sent a part of the response.
 	lastEvent time.Time
 	// pendingTokens is the request's part of the server's backlog: its uncached
