--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -43,6 +43,7 @@
 	h.Set("Wait", strconv.FormatInt(s.Wait.Milliseconds(), 10))
 	h.Set("Server", s.Server)
 	h.Set("Customer", s.Customer)
+	h.Set("Urgency", strconv.Itoa(s.Urgency))
 	if s.LastEvent != "" {
 		h.Set("Last", s.LastEvent)
 	}
@@ -67,6 +68,7 @@
 	key      string
 	last     string
 	wait     int
+	urgency  int
 	// trace is the trace context that the server received.
 	trace string
 }
@@ -159,12 +161,13 @@
 			return
 		}
 		wait, _ := strconv.Atoi(req.Header.Get("Wait"))
+		urgency, _ := strconv.Atoi(req.Header.Get("Urgency"))
 		d.mu.Lock()
 		d.arrivals++
 		d.mu.Unlock()
 		if !f(d, c, r, run{
 			server: id, id: req.Header.Get("Id"), customer: req.Header.Get("Customer"),
-			key: req.Header.Get("Key"), last: req.Header.Get("Last"), wait: wait,
+			key: req.Header.Get("Key"), last: req.Header.Get("Last"), wait: wait, urgency: urgency,
 			trace: req.Header.Get("Traceparent"),
 		}) {
 			return
@@ -242,15 +245,21 @@
 	err error
 }
 
-// send sends a request as a caller and reads the response.
+// send sends a request with the customer's key and reads the response.
 func (d *deployment) send(method, path, id string, header ...string) result {
+	d.t.Helper()
+	return d.sendWithKey(method, path, id, "key", header...)
+}
+
+// sendWithKey sends a request with an API key and reads the response.
+func (d *deployment) sendWithKey(method, path, id, key string, header ...string) result {
 	d.t.Helper()
 	c, err := net.Dial("tcp", d.ingress.Addr())
 	assert.NilError(d.t, err)
 	defer c.Close()
 	assert.NilError(d.t, c.SetDeadline(time.Now().Add(20*time.Second)))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nContent-Length: 4\r\n", method, path, id)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: %s\r\nContent-Length: 4\r\n", method, path, id, key)
 	for i := 0; i < len(header); i += 2 {
 		fmt.Fprintf(&b, "%s: %s\r\n", header[i], header[i+1])
 	}
