Judge an expiry of server records by the age of the copy, not by a peer's word

Cause: a server whose record vanishes while the store is unavailable is kept, as its lease may have run out. Whether the store was unavailable was an opinion that daemons took from each other: one that leaves watching to others adopted it from any single watcher, never heard the opposite again, as it then asked random peers and made no call of its own, and passed it on.

Now the fact is measured where it is used. A copy knows as of when it is confirmed, by the store or through peers. Only a gap of more than two seconds (outageAge) is an outage; as long as the store serves one daemon, the others hear of it sooner. The copy hands the end of the last outage to the catalog with the changes themselves, where the maintenance round used to pass it on up to 250 ms later. An expired server is dropped when its record is known to be missing as of the end of the grace period, rather than by the local clock. The field StoreUnavailable left the message between peers; older daemons read it as false. It now says only that the local daemon's own calls fail.

A daemon whose copy is older than a second, refused or not, asks two peers besides a watcher: a call to a silent store takes up to 1.7 s to fail, and until two had failed no peer was asked.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -12,11 +12,23 @@
 	"github.com/charmbracelet/log"
 )
 
-// expiryGrace is how long after the store becomes available again a server
-// whose record has expired still counts as live. Records expire while the store
-// is unavailable, and live servers write them again within about two seconds.
+// expiryGrace is how long after an outage of the store a server whose record has
+// expired still counts as live. Records expire while the store is unavailable, and
+// live servers write them again within about two seconds.
 const expiryGrace = 2 * time.Second
 
+// Freshness tells how current the known records are.
+type Freshness struct {
+	// AsOf is the time as of which the records are known.
+	AsOf time.Time
+	// OutageEnd is when the last outage of the store ended.
+	OutageEnd time.Time
+}
+
+// mayLackLive reports whether the records of live servers may still be missing after
+// an outage.
+func (f Freshness) mayLackLive() bool { return f.AsOf.Before(f.OutageEnd.Add(expiryGrace)) }
+
 // Server is a backend server as described by its record in the store. It is
 // immutable.
 type Server struct {
@@ -56,12 +68,9 @@
 
 	mu      sync.Mutex
 	servers map[string]*Server
-	// expired holds the IDs of servers whose records disappeared while the
-	// store was unavailable or within expiryGrace afterwards.
-	expired          map[string]bool
-	storeUnavailable bool
-	// graceEnd is when servers in expired are removed.
-	graceEnd time.Time
+	// expired holds the IDs of servers whose records disappeared in an outage of
+	// the store or within expiryGrace afterwards.
+	expired map[string]bool
 }
 
 // snapshot is the published, immutable state of a catalog.
@@ -70,10 +79,9 @@
 	byID      map[string]*Server
 }
 
-// NewCatalog returns an empty catalog. The store counts as unavailable until
-// SetStoreUnavailable is called.
+// NewCatalog returns an empty catalog.
 func NewCatalog(logger *log.Logger) *Catalog {
-	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}, storeUnavailable: true}
+	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}}
 	c.publish()
 	return c
 }
@@ -109,7 +117,7 @@
 }
 
 // Apply applies changes in order. Readers see either none or all of them.
-func (c *Catalog) Apply(changes []Change, now time.Time) {
+func (c *Catalog) Apply(changes []Change, f Freshness) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changed := false
@@ -120,7 +128,7 @@
 		case ch.Invalid:
 			changed = c.drop(ch.ID, ch.Revision) || changed
 		default:
-			changed = c.remove(ch.ID, ch.Revision, now) || changed
+			changed = c.remove(ch.ID, ch.Revision, f) || changed
 		}
 	}
 	if changed {
@@ -161,14 +169,15 @@
 	return a == b
 }
 
-// remove handles a deleted record and reports whether the catalog changed.
-// While the store is unavailable and until graceEnd, a server that was not
-// draining is kept, because its record may merely have expired.
-func (c *Catalog) remove(id string, revision int64, now time.Time) bool {
+// remove handles a deleted record and reports whether the catalog changed. After an
+// outage of the store, a server that was not draining is kept for expiryGrace,
+// because its record may merely have expired.
+func (c *Catalog) remove(id string, revision int64, f Freshness) bool {
 	s := c.servers[id]
-	if s != nil && (c.storeUnavailable || now.Before(c.graceEnd)) && !s.Draining {
+	if s != nil && f.mayLackLive() && !s.Draining {
 		c.expired[id] = true
-		c.log.Info("backend server record expired, keeping the server for now", "server", id, "revision", revision)
+		c.log.Info("backend server record expired, keeping the server for now", "server", id, "revision", revision,
+			"since_outage_ms", f.AsOf.Sub(f.OutageEnd).Milliseconds())
 		return false
 	}
 	return c.drop(id, revision)
@@ -185,26 +194,12 @@
 	return true
 }
 
-// SetStoreUnavailable records whether the store is unavailable. When the store
-// becomes available again, the grace period for expired records begins.
-func (c *Catalog) SetStoreUnavailable(unavailable bool, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.storeUnavailable == unavailable {
-		return
-	}
-	c.storeUnavailable = unavailable
-	if !unavailable {
-		c.graceEnd = now.Add(expiryGrace)
-	}
-}
-
-// RemoveExpired removes the expired servers once the grace period is over. It
-// must be called periodically.
-func (c *Catalog) RemoveExpired(now time.Time) {
+// RemoveExpired removes the expired servers whose records are known to be missing
+// still after the grace period. It must be called periodically.
+func (c *Catalog) RemoveExpired(f Freshness) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.storeUnavailable || len(c.expired) == 0 || now.Before(c.graceEnd) {
+	if len(c.expired) == 0 || f.mayLackLive() {
 		return
 	}
 	for id := range c.expired {
--- a/entry/records.go
+++ b/entry/records.go
@@ -3,11 +3,11 @@
 import (
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/store"
 )
@@ -29,7 +29,7 @@
 
 // apply applies a batch of changes. Servers come before configurations, because
 // the daemon accepts callers as soon as it has a configuration.
-func (r *records) apply(changes []store.Entry) {
+func (r *records) apply(changes []store.Entry, status mirror.Status) {
 	var servers []backend.Change
 	var configs []store.Entry
 	for _, e := range changes {
@@ -39,12 +39,17 @@
 			servers = append(servers, r.serverChange(id, e))
 		}
 	}
-	r.catalog.Apply(servers, time.Now())
+	r.catalog.Apply(servers, freshness(status))
 	for _, e := range configs {
 		r.applyConfig(e)
 	}
 }
 
+// freshness returns how current the servers' records in a copy are.
+func freshness(status mirror.Status) backend.Freshness {
+	return backend.Freshness{AsOf: status.Updated, OutageEnd: status.OutageEnd}
+}
+
 // isRenewal reports whether e only renews a server's record without changing it.
 func (r *records) isRenewal(e store.Entry) bool {
 	id, ok := strings.CutPrefix(e.Key, ServersPrefix)
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -26,12 +26,10 @@
 	}), nil
 }
 
-// upkeep passes the availability of the store to the catalog, removes servers,
-// connections and placement statistics that are no longer needed, and counts the
-// registered daemons.
-func (d *Daemon) upkeep(now time.Time) {
-	d.catalog.SetStoreUnavailable(d.copy.Status().StoreUnavailable, now)
-	d.catalog.RemoveExpired(now)
+// upkeep removes servers, connections and placement statistics that are no longer
+// needed, and counts the registered daemons.
+func (d *Daemon) upkeep(time.Time) {
+	d.catalog.RemoveExpired(freshness(d.copy.Status()))
 	d.pool.Sweep(d.catalog.Usable)
 	d.tracker.Forget(d.catalog.Known)
 	d.registered.Store(int64(len(d.copy.Records(DaemonsPrefix))))
--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -22,9 +22,12 @@
 	// exchangeInterval is the time between two rounds. A daemon whose calls to
 	// the store fail receives a change within about two rounds.
 	exchangeInterval = 400 * time.Millisecond
-	// exchangeFanout is the number of peers asked per round while the store is
-	// unavailable.
+	// exchangeFanout is the number of peers asked per round by a daemon that the
+	// watchers do not keep up to date.
 	exchangeFanout = 2
+	// watcherLag is the age of the copy from which a daemon asks any peers as well.
+	// The store, or a watcher that reads it, keeps the copy younger.
+	watcherLag = time.Second
 	// maxUnpackedBytes limits the decompressed size of a response.
 	maxUnpackedBytes = 16 << 20
 )
@@ -45,8 +48,6 @@
 	// AgeMs is the time in milliseconds since the sender's copy was known to be
 	// current.
 	AgeMs int64
-	// StoreUnavailable is set when the sender cannot reach the store.
-	StoreUnavailable bool
 	// Complete is set when Packed holds all records instead of changes.
 	Complete bool
 	// Packed is a list of records in msgpack, compressed with gzip. It is empty
@@ -84,29 +85,37 @@
 	return x
 }
 
-// queryPeers requests changes from other daemons. A watcher that reaches the store
-// needs none. A daemon that cannot reach the store asks exchangeFanout random
-// peers, any other daemon one random watcher.
+// queryPeers requests changes from other daemons: from one random watcher unless the
+// local daemon is one, and from exchangeFanout random peers if the local copy is not
+// kept up to date.
 func (x *Exchange) queryPeers() {
 	status := x.copy.Status()
 	watchers := x.watchers()
-	if !status.StoreUnavailable && watchers.Self {
-		return
-	}
-	targets := x.peers()
-	if !status.StoreUnavailable {
-		targets = slices.Clone(watchers.Others)
+	var targets []string
+	if !watchers.Self {
+		targets = sample(watchers.Others, 1)
 	}
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	fanout := exchangeFanout
-	if !status.StoreUnavailable {
-		fanout = 1
+	if needsAnyPeer(status, watchers) {
+		targets = append(targets, sample(x.peers(), exchangeFanout)...)
 	}
-	for _, name := range targets[:min(fanout, len(targets))] {
+	for _, name := range targets {
 		x.send(name, &position{At: uint64(status.Revision)})
 	}
 }
 
+// sample returns up to n random names of a list.
+func sample(names []string, n int) []string {
+	names = slices.Clone(names)
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(n, len(names))]
+}
+
+// needsAnyPeer reports whether neither the store nor a watcher keeps the local copy
+// up to date. A call to the store may take longer than watcherLag to fail.
+func needsAnyPeer(status Status, watchers Watchers) bool {
+	return watchers.Self && status.StoreUnavailable || time.Since(status.Updated) > watcherLag
+}
+
 func (x *Exchange) send(to string, m peer.Message) {
 	if err := x.bus.Send(to, m); err != nil {
 		x.log.Debug("sending a mirror message failed", "daemon", to, "err", err)
@@ -121,7 +130,7 @@
 	if status.Revision == 0 {
 		return
 	}
-	resp := &response{At: uint64(status.Revision), AgeMs: time.Since(status.Updated).Milliseconds(), StoreUnavailable: status.StoreUnavailable}
+	resp := &response{At: uint64(status.Revision), AgeMs: time.Since(status.Updated).Milliseconds()}
 	if after < status.Revision {
 		changes, at, complete := x.copy.ChangesSince(after)
 		packed, err := pack(changes)
@@ -135,17 +144,11 @@
 	x.send(from, resp)
 }
 
-// onResponse merges the response of a peer into the local copy. A daemon that
-// leaves watching to others also takes over from them whether the store is
-// available.
+// onResponse merges the response of a peer into the local copy.
 func (x *Exchange) onResponse(from string, m peer.Message) {
 	resp := m.(*response)
 	status := x.copy.Status()
-	now := time.Now()
-	if !status.StoreUnavailable && !x.watchers().Self && x.copy.SetStoreUnavailable(resp.StoreUnavailable, now) {
-		x.log.Info("availability of the store taken from a peer", "daemon", from, "unavailable", resp.StoreUnavailable, "revision", resp.At, "age_ms", resp.AgeMs)
-	}
-	asOf := now.Add(-time.Duration(resp.AgeMs) * time.Millisecond)
+	asOf := time.Now().Add(-time.Duration(resp.AgeMs) * time.Millisecond)
 	at := store.Revision(resp.At)
 	if at < status.Revision {
 		return
@@ -160,7 +163,7 @@
 		return
 	}
 	x.taken.Inc(1)
-	if status.StoreUnavailable {
+	if needsAnyPeer(status, x.watchers()) {
 		x.log.Info("records taken from a peer", "daemon", from, "revision", resp.At, "records", len(records), "complete", resp.Complete, "age_ms", resp.AgeMs)
 	}
 	if resp.Complete {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -101,6 +101,10 @@
 	listed, failed := false, 0
 	for ctx.Err() == nil {
 		if f.followsPeers() {
+			if failed > 0 {
+				failed = 0
+				f.recordAvailable()
+			}
 			sleep(ctx, watchPause)
 			continue
 		}
@@ -125,7 +129,7 @@
 			continue
 		}
 		listed, failed = true, 0
-		f.recordSuccess()
+		f.recordAvailable()
 		sleep(ctx, watchPause)
 	}
 }
@@ -141,11 +145,12 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.lists.Inc(1)
+	asOf := time.Now()
 	all, at, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
-	f.copy.Replace(all, at, time.Now())
+	f.copy.Replace(all, at, asOf)
 	return nil
 }
 
@@ -166,7 +171,9 @@
 	}
 }
 
-func (f *Follower) recordSuccess() {
+// recordAvailable records that the local daemon read the store, or that a peer did
+// on its behalf.
+func (f *Follower) recordAvailable() {
 	before := f.copy.Status()
 	now := time.Now()
 	if !f.copy.SetStoreUnavailable(false, now) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -15,6 +15,11 @@
 	"github.com/jacinththread/jacinththread/store"
 )
 
+// outageAge is the age of a copy from which the store counts as unavailable to all
+// daemons: as long as it serves one of them, the others receive its changes sooner.
+// No record expires in a shorter outage, because leases outlast two heartbeats.
+const outageAge = 2 * time.Second
+
 // tombstoneAge is how long tombstones of deleted records are kept for peers. A
 // peer that is further behind receives all records.
 const tombstoneAge = 2 * time.Minute
@@ -24,13 +29,17 @@
 	// Revision is the revision up to which the copy is complete, or zero before
 	// the first update.
 	Revision store.Revision
-	// StoreUnavailable is set while the store is unavailable to the local daemon.
+	// StoreUnavailable is set while the local daemon's own calls to the store fail.
+	// The store may serve other daemons meanwhile.
 	StoreUnavailable bool
 	// StoreStateSince is when StoreUnavailable last changed.
 	StoreStateSince time.Time
 	// Updated is when the copy was last confirmed to be current, by the store or
 	// by a peer.
 	Updated time.Time
+	// OutageEnd is when the copy was first confirmed after the last time that it
+	// was older than outageAge.
+	OutageEnd time.Time
 }
 
 // Copy is a local copy of the store's records. It is safe for concurrent use.
@@ -45,7 +54,8 @@
 	storeUnavailable  bool
 	storeStateSince   time.Time
 	updated           time.Time
-	onChange          func([]store.Entry)
+	outageEnd         time.Time
+	onChange          func([]store.Entry, Status)
 	isRenewal         func(store.Entry) bool
 }
 
@@ -64,11 +74,12 @@
 }
 
 // NewCopy returns an empty copy. The callback onChange receives every batch of
-// changed records in merge order and must not call the copy. The function
+// changed records in merge order, with the status of the copy that includes them,
+// and must not call the copy. The function
 // isRenewal reports whether a new revision of a known record only confirms its
 // content, as heartbeats do. Renewals are passed neither to the callback nor to
 // other daemons.
-func NewCopy(onChange func([]store.Entry), isRenewal func(store.Entry) bool) *Copy {
+func NewCopy(onChange func([]store.Entry, Status), isRenewal func(store.Entry) bool) *Copy {
 	return &Copy{
 		records:          map[string]record{},
 		tombstones:       map[string]tombstone{},
@@ -82,7 +93,15 @@
 func (c *Copy) Status() Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Status{Revision: c.revision, StoreUnavailable: c.storeUnavailable, StoreStateSince: c.storeStateSince, Updated: c.updated}
+	return c.status()
+}
+
+// status is Status for callers that hold the mutex.
+func (c *Copy) status() Status {
+	return Status{
+		Revision: c.revision, StoreUnavailable: c.storeUnavailable, StoreStateSince: c.storeStateSince,
+		Updated: c.updated, OutageEnd: c.outageEnd,
+	}
 }
 
 // SetStoreUnavailable records whether the store is unavailable and reports
@@ -122,13 +141,17 @@
 	if at < c.revision {
 		return
 	}
-	c.merge(changes, asOf)
 	c.advance(at, asOf)
+	c.merge(changes, asOf)
 }
 
-// advance records the revision up to which the copy is complete.
+// advance records the revision up to which the copy is complete and the time as of
+// which it is.
 func (c *Copy) advance(at store.Revision, asOf time.Time) {
 	c.revision = max(c.revision, at)
+	if !c.updated.IsZero() && asOf.Sub(c.updated) > outageAge {
+		c.outageEnd = asOf
+	}
 	if asOf.After(c.updated) {
 		c.updated = asOf
 	}
@@ -154,8 +177,8 @@
 			changes = append(changes, store.Entry{Key: key, Revision: max(e.Revision+1, at), Deleted: true})
 		}
 	}
-	c.merge(changes, asOf)
 	c.advance(at, asOf)
+	c.merge(changes, asOf)
 }
 
 // merge applies the changes that are newer than the known records.
@@ -188,7 +211,7 @@
 		applied = append(applied, e)
 	}
 	if len(applied) > 0 {
-		c.onChange(applied)
+		c.onChange(applied, c.status())
 	}
 }
 
