Send each request with the urgency of its customer and of its route

Callers' urgent streams (trend-chat) were preempted while less urgent ones (season-outlook) ran on at the same server.

Cause: a customer's priority takes precedence over the route's, and the code dropped the route's altogether. On the platform all customers have a priority, nearly all the same one, so all kinds of request went out as equals. A server that runs out of slots or memory preempts the newest of the least urgent, and in a burst of urgent requests those are the newest.

Now the two priorities rank together: the customer's first, the route's among equal customers. The ranks that a configuration can produce are numbered from 0, in order, when its table is compiled, so that servers get different urgencies for different ranks; with more than ten ranks neighbours share one. The work is the number of different priorities, not of customers times routes. Whether a request is refused before it is sent goes by the same priority as before; it is logged as such.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -31,9 +31,6 @@
 	// minRemainingTime is the shortest time before the deadline at which a
 	// request is still sent.
 	minRemainingTime = 5 * time.Millisecond
-	// maxUrgency is the largest urgency that servers accept, which is the least
-	// urgent level.
-	maxUrgency = 9
 	// responseTimeoutFactor is how many times its latency target a repeatable
 	// request waits for the first byte of a response before it is sent to
 	// another server.
@@ -134,13 +131,13 @@
 	if q.attempts > 0 {
 		return 0
 	}
-	return placement.MaxWait(q.route.Target, q.urgency)
+	return placement.MaxWait(q.route.Target, q.priority)
 }
 
 // refuseOverloaded responds to a request whose queueing time would be too long
 // at the best server.
 func (q *request) refuseOverloaded(ctx context.Context, r *placement.Refusal) {
-	q.cfg.Log.Info("request refused, estimated wait exceeds the limit", "request_id", q.meta.ID, "service", q.service, "urgency", q.urgency,
+	q.cfg.Log.Info("request refused, estimated wait exceeds the limit", "request_id", q.meta.ID, "service", q.service, "priority", q.priority,
 		"wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
 	if ctx.Err() != nil {
 		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
@@ -181,7 +178,7 @@
 	id := q.meta.ID
 	header := q.cfg.HeaderCodec.Outgoing(withoutHopByHop(q.in.Header), ServerMeta{
 		Wait: remaining, Server: s.ID, Customer: q.customer,
-		Urgency: min(max(q.urgency, 0), maxUrgency), LastEvent: q.stream.lastEventID(),
+		Urgency: q.urgency, LastEvent: q.stream.lastEventID(),
 	})
 	injectTrace(ctx, header)
 	return &upstream.Request{
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,7 +52,8 @@
 	Server string
 	// Customer is the customer's name, empty on routes that need no key.
 	Customer string
-	// Urgency is the priority level, from 0 (most urgent) to 9.
+	// Urgency ranks the request at the server, from 0 (most urgent) to
+	// route.MaxUrgency.
 	Urgency int
 	// LastEvent is the ID of the event after which a stream continues that the
 	// router resumes, or empty.
@@ -162,6 +163,9 @@
 	route    *route.Route
 	service  string
 	customer string
+	// priority is that of the customer, or of the route if the customer has none.
+	priority int
+	// urgency is sent to servers.
 	urgency  int
 	deadline time.Time
 
@@ -202,7 +206,8 @@
 		q.refuse(http.StatusNotFound, "no route matches the host and path", 0)
 		return false
 	}
-	q.urgency = q.route.Priority
+	q.priority = q.route.Priority
+	q.urgency = q.table.Urgency(nil, q.route)
 	if !q.identifyCustomer() {
 		return false
 	}
@@ -226,8 +231,9 @@
 		return false
 	}
 	q.customer = c.Name
+	q.urgency = q.table.Urgency(c, q.route)
 	if c.Priority != nil {
-		q.urgency = *c.Priority
+		q.priority = *c.Priority
 	}
 	return true
 }
--- a/forward/urgency_test.go
+++ b/forward/urgency_test.go
@@ -55,7 +55,7 @@
 	ordered := []caller{{&zero, 0}, {&zero, 1}, {&zero, 2}, {&one, 0}, {&one, 1}, {&one, 2}}
 	got := urgenciesOf(t, ordered)
 	for i, u := range got {
-		assert.Assert(t, u >= 0 && u <= maxUrgency, "%s: %d", ordered[i].name(), u)
+		assert.Assert(t, u >= 0 && u <= route.MaxUrgency, "%s: %d", ordered[i].name(), u)
 		assert.Assert(t, i == 0 || u > got[i-1], "%s is sent as %d, %s as %d", ordered[max(0, i-1)].name(), got[max(0, i-1)], ordered[i].name(), u)
 	}
 }
--- a/route/config.go
+++ b/route/config.go
@@ -56,8 +56,7 @@
 	// GapTarget is the latency objective for the gap between two events of a
 	// stream.
 	GapTarget time.Duration
-	// Priority is the urgency class of the route's requests; 0 is the most
-	// urgent.
+	// Priority is the rank of the route's requests; 0 is the most urgent.
 	Priority int
 	// Shares has at least one entry.
 	Shares []Share
@@ -108,7 +107,8 @@
 type Customer struct {
 	Name string
 	Keys []string
-	// Priority overrides the route's priority unless it is nil.
+	// Priority takes precedence over the priority of routes unless it is nil. Among
+	// customers of equal priority, that of the route decides.
 	Priority *int
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -14,6 +14,8 @@
 	byHost    map[string][]*Route
 	services  map[string]*Service
 	customers map[string]*Customer
+	// urgencies holds the urgency of each level of requests.
+	urgencies map[level]int
 	// minGapTargets holds the smallest gap target of each service's streams.
 	minGapTargets map[string]time.Duration
 	// hasCustomers is set if the configuration lists customers. If it lists
@@ -30,6 +32,7 @@
 		byHost:        map[string][]*Route{},
 		services:      make(map[string]*Service, len(c.Services)),
 		customers:     map[string]*Customer{},
+		urgencies:     urgencies(c),
 		minGapTargets: map[string]time.Duration{},
 		hasCustomers:  len(c.Customers) > 0,
 	}
