Accept the listen backlog at a planned stop until it is empty, not for 20 ms

On a machine that is short of processor time, a planned stop reset connections whose callers may have sent requests: the accept loop had 20 ms to be scheduled and to take them, then the listener closed with connections in its backlog.

Now the accept loop is ended and the stop itself accepts what is in the backlog, by the system call, which does not look at the listener's deadline, until it reports that there is none; then the listener closes. No time is waited.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -128,15 +128,20 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.opened.Inc(1)
-		c := newConn(s, nc)
-		if !s.add(c) {
-			s.refused.Inc(1)
-			nc.Close()
-			continue
-		}
-		go c.serve()
+		s.serve(nc)
+	}
+}
+
+// serve serves an accepted connection, or closes it if there are too many.
+func (s *Server) serve(nc net.Conn) {
+	s.opened.Inc(1)
+	c := newConn(s, nc)
+	if !s.add(c) {
+		s.refused.Inc(1)
+		nc.Close()
+		return
 	}
+	go c.serve()
 }
 
 // add registers a connection. At MaxConns, it closes the connection that has been
@@ -191,22 +196,31 @@
 // response.
 func (s *Server) CloseAfterResponses() { s.stopping.Store(true) }
 
-// backlogTimeout is the time during which connections in the listen backlog are
-// still accepted before the listener closes. Closing it at once would reset them,
-// although their callers may have sent requests.
-const backlogTimeout = 20 * time.Millisecond
-
 // StopAccepting accepts the connections in the listen backlog and closes the
-// listener. It also makes each connection close after its next response.
+// listener. It also makes each connection close after its next response. Closing the
+// listener at once would reset connections in the backlog, although their callers may
+// have sent requests.
 func (s *Server) StopAccepting() {
 	s.stopping.Store(true)
-	if l, ok := s.listener.(*net.TCPListener); ok && l.SetDeadline(time.Now().Add(backlogTimeout)) == nil {
+	if l, ok := s.listener.(*net.TCPListener); ok && l.SetDeadline(pastDeadline) == nil {
 		s.accepting.Wait()
+		s.serveBacklog(l)
 	}
 	s.listener.Close()
 	s.accepting.Wait()
 }
 
+// serveBacklog serves the connections in the listen backlog.
+func (s *Server) serveBacklog(l *net.TCPListener) {
+	conns, err := acceptBacklog(l)
+	for _, nc := range conns {
+		s.serve(nc)
+	}
+	if err != nil {
+		s.cfg.Log.Warn("accepting the listen backlog failed", "accepted", len(conns), "err", err)
+	}
+}
+
 // CloseIdle closes the idle connections and makes connections close when they
 // become idle.
 func (s *Server) CloseIdle() {
