Close an idle connection only if no bytes of a request have been received

On a machine that is short of processor time, a planned stop closed connections with a received request unanswered: the last read of an idle connection had a deadline of 2 ms, and if its goroutine ran later than that, the read failed although bytes were there.

Now the socket is asked, without waiting, whether bytes were received; the read, which then returns at once, has 200 ms.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -128,8 +128,8 @@
 }
 
 // lateReadTimeout bounds the final read of an idle connection that is closed by a
-// planned stop.
-const lateReadTimeout = 2 * time.Millisecond
+// planned stop. The read returns at once if bytes have been received.
+const lateReadTimeout = 200 * time.Millisecond
 
 // acceptLateRequest reports whether a request was received while a planned stop
 // was closing the idle connection, and marks it as begun. Such a request is
@@ -138,6 +138,9 @@
 	if !c.server.closed.Load() || c.idleSince.Load() != closing {
 		return false
 	}
+	if c.br.Buffered() == 0 && !mayHaveReceived(c.nc) {
+		return false
+	}
 	c.nc.SetReadDeadline(time.Now().Add(lateReadTimeout))
 	if _, err := c.br.Peek(1); err != nil {
 		return false
