Count only the prompts ahead of a request when its wait is estimated

The estimated wait counted the prompts of all requests at a server, but a server reads the urgent ones first, all the more since it is told which they are. The wait that a request accepts is a multiple of its objective, so the most urgent kind, with the shortest objective, was refused first. Samples of the prefill rate had the same error: an urgent request seemed to follow a backlog that it overtook.

Now the backlog is kept and exchanged by urgency, and the wait and the samples count the part that is at least as urgent. The message between daemons has the parts beside the total; a total alone, from an older daemon, counts as most urgent.

Tests: the new one fills a server with less urgent prompts until they are refused; with the old formula the urgent request is refused as well (accepted 0), now some are accepted before they fill their own wait.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -117,7 +117,7 @@
 		memory = s.Engine.MemoryTokens
 	}
 	return q.cfg.Tracker.Place(time.Now(), untried, placement.Request{
-		Memory: memory, MaxWait: q.maxWait(),
+		Memory: memory, MaxWait: q.maxWait(), Urgency: q.urgency,
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
 		Gap:   q.route.GapTarget,
 		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.MinGapTarget(q.service),
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -12,8 +12,9 @@
 // little by being sent and delays the others.
 //
 // The least urgent requests have the shortest maximum wait, so they are refused
-// first. Only the backlog ahead of a request counts and not its own size, so
-// that large requests are refused no more often than small ones.
+// first. Only the backlog ahead of a request counts: neither less urgent requests,
+// which the server reads later, nor its own size, so that large requests are refused
+// no more often than small ones.
 
 const (
 	// maxMemoryShare is the share of a server's memory that placed requests may
@@ -64,9 +65,10 @@
 	return time.Duration(maxWaitFactor * float64(target) / float64(urgency*urgency))
 }
 
-// expectedWait returns how long the server needs to read its backlog.
+// expectedWait returns how long the server needs to read the prompts ahead of the
+// request.
 func (c *Candidate) expectedWait() time.Duration {
-	return time.Duration(c.Backlog / c.PrefillRate * float64(time.Millisecond))
+	return time.Duration(c.Ahead / c.PrefillRate * float64(time.Millisecond))
 }
 
 // accepts reports whether the expected wait and the memory of the server allow
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -141,3 +141,34 @@
 	p.observe(100, time.Second) // Less than minSampleTokens.
 	assert.Assert(t, p.tokensPerMs > 39)
 }
+
+// TestUrgentRequestsAreNotRefusedForTheBacklogOfLessUrgentOnes guards against refusing the urgent requests of a customer first because their objective is shorter.
+func TestUrgentRequestsAreNotRefusedForTheBacklogOfLessUrgentOnes(t *testing.T) {
+	const urgent, lessUrgent, priority = 3, 5, 1
+	tracker := newTracker(1)
+	all := servers(1)
+	archive := func(i int) Request {
+		req := archiveRequest(i, priority)
+		req.Urgency = lessUrgent
+		return req
+	}
+	chat := func(i int) Request {
+		return Request{
+			Prompt: []Part{NewPart(fmt.Sprint("session-", i), 1000)}, TokensIn: 1000, TokensOut: 100, Urgency: urgent,
+			MaxWait: MaxWait(300*time.Millisecond, priority),
+		}
+	}
+	for i := 0; ; i++ {
+		if _, refusal := tracker.Place(now, all, archive(i)); refusal != nil {
+			break
+		}
+	}
+	accepted := 0
+	for ; accepted < 1000; accepted++ {
+		if _, refusal := tracker.Place(now, all, chat(accepted)); refusal != nil {
+			break
+		}
+	}
+	assert.Assert(t, accepted > 0, "refused behind less urgent requests")
+	assert.Assert(t, accepted < 1000, "accepted behind any number of requests as urgent")
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -22,6 +22,8 @@
 	Tight   int32
 	// Backlog is the number of prompt tokens that have not been read yet.
 	Backlog int32
+	// BacklogByUrgency divides Backlog, without trailing zeros.
+	BacklogByUrgency []int32
 	// MemoryUsed is the memory that the requests need, in tokens.
 	MemoryUsed int32
 	// Parts holds the hashes of the shared prompt parts that were sent to the
@@ -32,6 +34,14 @@
 // id identifies the server instance that the load is on.
 func (l *serverLoad) id() backend.Instance { return backend.Instance{ID: l.Server, Started: l.Started} }
 
+// tokens returns the backlog by urgency.
+func (l *serverLoad) tokens() backlog { return decodeBacklog(l.BacklogByUrgency, l.Backlog) }
+
+// setTokens sets the backlog.
+func (l *serverLoad) setTokens(b *backlog) {
+	l.Backlog, l.BacklogByUrgency = int32(b.total()), b.encode()
+}
+
 // empty reports whether there is nothing to report. Tight and MemoryUsed are
 // zero whenever Running is.
 func (l *serverLoad) empty() bool {
@@ -59,13 +69,15 @@
 
 // remoteLoad is the load of the other daemons on a server.
 type remoteLoad struct {
-	running, tight, backlog, used float64
+	running, tight, used float64
+	backlog              backlog
 }
 
 func (r *remoteLoad) add(l *serverLoad) {
 	r.running += float64(l.Running)
 	r.tight += float64(l.Tight)
-	r.backlog += float64(l.Backlog)
+	tokens := l.tokens()
+	r.backlog.add(&tokens)
 	r.used += float64(l.MemoryUsed)
 }
 
@@ -74,7 +86,8 @@
 func (r *remoteLoad) subtract(l serverLoad) {
 	r.running = max(0, r.running-float64(l.Running))
 	r.tight = max(0, r.tight-float64(l.Tight))
-	r.backlog = max(0, r.backlog-float64(l.Backlog))
+	tokens := l.tokens()
+	r.backlog.subtract(&tokens)
 	r.used = max(0, r.used-float64(l.MemoryUsed))
 }
 
@@ -100,12 +113,13 @@
 	for instance, st := range t.servers {
 		now := serverLoad{
 			Server: instance.ID, Started: instance.Started,
-			Running: int32(st.running), Tight: int32(st.tight), Backlog: int32(st.backlog), MemoryUsed: int32(st.used), Parts: st.unsharedParts,
+			Running: int32(st.running), Tight: int32(st.tight), MemoryUsed: int32(st.used), Parts: st.unsharedParts,
 		}
-		same := now.Running == st.reported.Running && now.MemoryUsed == st.reported.MemoryUsed && now.Backlog == st.reported.Backlog
+		same := now.Running == st.reported.Running && now.MemoryUsed == st.reported.MemoryUsed && st.backlog == st.reported.tokens()
 		if same && len(st.unsharedParts) == 0 && (!all || now.empty()) {
 			continue
 		}
+		now.setTokens(&st.backlog)
 		out = append(out, now)
 		st.unsharedParts = nil
 		st.reported = now
@@ -217,15 +231,17 @@
 		r := t.sumPeerLoads(instance, now)
 		l := serverLoad{
 			Server: instance.ID, Started: instance.Started, Running: int32(r.running), Tight: int32(r.tight),
-			Backlog: int32(r.backlog), MemoryUsed: int32(r.used), Parts: t.queuedParts[instance],
+			MemoryUsed: int32(r.used), Parts: t.queuedParts[instance],
 		}
 		delete(t.queuedParts, instance)
 		if st := t.servers[instance]; st != nil {
 			l.Running += st.reported.Running
 			l.Tight += st.reported.Tight
-			l.Backlog += st.reported.Backlog
+			tokens := st.reported.tokens()
+			r.backlog.add(&tokens)
 			l.MemoryUsed += st.reported.MemoryUsed
 		}
+		l.setTokens(&r.backlog)
 		if !l.empty() {
 			m.Loads = append(m.Loads, l)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,6 +51,9 @@
 	// MaxWait is the longest time that the request waits for the prompts ahead
 	// of it to be read; zero means no bound.
 	MaxWait time.Duration
+	// Urgency is the rank of the request at the server, from 0, the most urgent, to
+	// Urgencies-1.
+	Urgency int
 	// Domain is the failure domain of the local daemon.
 	Domain string
 }
@@ -65,6 +68,9 @@
 	// Backlog is the number of prompt tokens of requests that have not produced
 	// their first event.
 	Backlog float64
+	// Ahead is the part of Backlog that the server reads before the prompt of the
+	// request to be placed, because it is at least as urgent.
+	Ahead float64
 	// MemoryUsed is the memory that all running requests need, in tokens.
 	MemoryUsed float64
 	// PrefillRate is the rate at which the server reads prompts, in tokens per
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -82,7 +82,7 @@
 type serverState struct {
 	running        int
 	tight          int
-	backlog        int
+	backlog        backlog
 	used           int
 	prefillRate    rateEstimate
 	pauses         pauseHistory
@@ -144,7 +144,8 @@
 func (t *Tracker) candidate(now time.Time, s *backend.Server, req Request) Candidate {
 	st := t.state(s.Instance())
 	others := t.remote[s.Instance()]
-	silent := st.silent(now, float64(st.backlog)+others.backlog)
+	total := st.backlog.total() + others.backlog.total()
+	silent := st.silent(now, total)
 	if silent != st.wasSilent {
 		st.wasSilent = silent
 		t.log.Info("server silence detected or ended", "server", s.ID, "silent", silent, "running", st.running, "heard_ms", now.Sub(st.lastActivity).Milliseconds())
@@ -153,7 +154,8 @@
 		Server:       s,
 		Running:      float64(st.running) + others.running,
 		Tight:        float64(st.tight) + others.tight,
-		Backlog:      float64(st.backlog) + others.backlog,
+		Backlog:      total,
+		Ahead:        st.backlog.ahead(req.Urgency) + others.backlog.ahead(req.Urgency),
 		MemoryUsed:   float64(st.used) + others.used,
 		PrefillRate:  st.prefillRate.orDefault(t.prefillRate.orDefault(defaultPrefillRate)),
 		CachedTokens: st.cachedTokens(now, req.Prompt),
@@ -204,8 +206,8 @@
 	t.demand.add(now, req.Tight, float64(uncached)+outputWeight*float64(req.TokensOut))
 	f := &InFlight{
 		tracker: t, Server: s, placedAt: now, tight: req.Tight,
-		pendingTokens: uncached, used: int(memoryTokens(&req)),
-		Estimate: Estimate{UncachedTokens: uncached, BacklogTokens: int(c.Backlog), Running: int(c.Running), MemoryTokens: int(c.MemoryUsed)},
+		pendingTokens: uncached, urgency: req.Urgency, used: int(memoryTokens(&req)),
+		Estimate: Estimate{UncachedTokens: uncached, BacklogTokens: int(c.Ahead), Running: int(c.Running), MemoryTokens: int(c.MemoryUsed)},
 	}
 	if st.running == 0 {
 		st.lastActivity = now
@@ -214,7 +216,7 @@
 	if f.tight {
 		st.tight++
 	}
-	st.backlog += f.pendingTokens
+	st.backlog[f.urgency] += int32(f.pendingTokens)
 	st.used += f.used
 	for i, p := range req.Prompt {
 		st.recordParts([]uint64{p.Hash}, now)
@@ -290,6 +292,7 @@
 	// pendingTokens is the request's part of the server's backlog: its uncached
 	// tokens until the first event, then 0.
 	pendingTokens int
+	urgency       int
 	used          int
 	tight         bool
 	ended         bool
@@ -316,7 +319,7 @@
 // clearPending removes the prompt from the server's backlog. The caller must
 // hold the tracker's lock.
 func (f *InFlight) clearPending() {
-	f.tracker.state(f.Server.Instance()).backlog -= f.pendingTokens
+	f.tracker.state(f.Server.Instance()).backlog[f.urgency] -= int32(f.pendingTokens)
 	f.pendingTokens = 0
 }
 
