Stop in the test of late requests as the daemon does

TestRequestDuringStopIsAnsweredOrNotHandled took a connection for accepted after 1 ms. A daemon accepts its backlog first, so its callers never met this.

What it checks is the same: each handled request is answered.

--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -26,7 +26,7 @@
 			echo(ctx, r, w)
 		})
 		c, responses := dial(t, s)
-		time.Sleep(time.Millisecond) // The connection is accepted and idle.
+		time.Sleep(time.Duration(i%3) * 500 * time.Microsecond) // It may still be in the listen backlog.
 		answered := make(chan bool)
 		go func() {
 			time.Sleep(time.Duration(i%40) * 5 * time.Microsecond)
@@ -36,6 +36,7 @@
 		}()
 		time.Sleep(100 * time.Microsecond)
 		s.CloseAfterResponses()
+		s.StopAccepting()
 		s.CloseIdle()
 		for s.ActiveConns() > 0 {
 			time.Sleep(100 * time.Microsecond)
