Keep the callbacks of failed links in one type

The node and the bus of the test network each had their own list of callbacks with its lock and its calls. Both use LinkDownCallbacks now. The tests of peer, bundle, membership and gateway that rely on it pass with the race detector (peer and bundle run again).

--- a/peer/link.go
+++ b/peer/link.go
@@ -132,7 +132,7 @@
 	n.metrics.messagesDropped.Inc(int64(frames))
 	wait := l.retry.NextBackOff()
 	n.cfg.Log.Warn("opening the peer link failed", "peer", l.to, "err", err, "retry_in", wait)
-	n.notifyLinkDown(l.to)
+	n.linkDown.Notify(l.to)
 	select {
 	case <-n.ctx.Done():
 	case <-time.After(wait):
@@ -148,5 +148,5 @@
 		n.metrics.linksSilent.Inc(1)
 	}
 	n.cfg.Log.Warn("peer link failed", "peer", l.to, "err", err)
-	n.notifyLinkDown(l.to)
+	n.linkDown.Notify(l.to)
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -21,15 +21,15 @@
 	// running counts the goroutines of the node, which Stop waits for.
 	running sync.WaitGroup
 	// local queues the messages that the node sends to itself.
-	local *outbox
-
-	mu                sync.RWMutex
-	listener          net.Listener
-	links             map[string]*link
-	inbound           map[string]*inbound
-	sessions          map[*session]struct{}
-	linkDownCallbacks []func(string)
-	closed            bool
+	local    *outbox
+	linkDown LinkDownCallbacks
+
+	mu       sync.RWMutex
+	listener net.Listener
+	links    map[string]*link
+	inbound  map[string]*inbound
+	sessions map[*session]struct{}
+	closed   bool
 }
 
 // New returns a node that doesn't listen yet. Its error lists everything that is
@@ -111,21 +111,7 @@
 }
 
 // OnLinkDown implements Bus.
-func (n *Node) OnLinkDown(f func(name string)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.linkDownCallbacks = append(n.linkDownCallbacks, f)
-}
-
-// notifyLinkDown calls the registered callbacks for a failed link.
-func (n *Node) notifyLinkDown(name string) {
-	n.mu.RLock()
-	callbacks := n.linkDownCallbacks
-	n.mu.RUnlock()
-	for _, f := range callbacks {
-		f(name)
-	}
-}
+func (n *Node) OnLinkDown(f func(name string)) { n.linkDown.Add(f) }
 
 var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
--- a/peer/peertest/bus.go
+++ b/peer/peertest/bus.go
@@ -1,19 +1,13 @@
 package peertest
 
-import (
-	"sync"
-
-	"github.com/jacinththread/jacinththread/peer"
-)
+import "github.com/jacinththread/jacinththread/peer"
 
 // bus implements peer.Bus for one node of a Network.
 type bus struct {
 	net      *Network
 	name     string
 	handlers peer.Handlers
-
-	mu                sync.Mutex
-	linkDownCallbacks []func(string)
+	linkDown peer.LinkDownCallbacks
 
 	// The fields below are guarded by the network's lock.
 	paused  bool
@@ -30,21 +24,7 @@
 }
 
 // OnLinkDown implements peer.Bus.
-func (b *bus) OnLinkDown(f func(name string)) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.linkDownCallbacks = append(b.linkDownCallbacks, f)
-}
-
-// notifyLinkDown calls the registered callbacks for a failed link.
-func (b *bus) notifyLinkDown(name string) {
-	b.mu.Lock()
-	callbacks := b.linkDownCallbacks
-	b.mu.Unlock()
-	for _, f := range callbacks {
-		f(name)
-	}
-}
+func (b *bus) OnLinkDown(f func(name string)) { b.linkDown.Add(f) }
 
 // Send implements peer.Bus. Messages to a removed node are dropped.
 func (b *bus) Send(to string, m peer.Message) error {
--- a/peer/peertest/network.go
+++ b/peer/peertest/network.go
@@ -206,7 +206,7 @@
 		down := n.link(from, to).cut || n.buses[to] == nil
 		n.mu.Unlock()
 		if b != nil && down {
-			b.notifyLinkDown(to)
+			b.linkDown.Notify(to)
 		}
 	})
 }
