--- a/bundle/store_test.go
+++ b/bundle/store_test.go
@@ -25,14 +25,20 @@
 
 // mustRoll proposes, approves and rolls a change.
 func mustRoll(t testing.TB, s *Store, id string, base uint64, content string) Pointer {
+	t.Helper()
+	mustApprove(t, s, id, base, content)
+	at, err := s.Roll(t.Context(), id, "ana")
+	assert.NilError(t, err)
+	return at
+}
+
+// mustApprove proposes a change and approves it.
+func mustApprove(t testing.TB, s *Store, id string, base uint64, content string) {
 	t.Helper()
 	p, err := s.Propose(t.Context(), Change{ID: id, Base: base, Content: content}, "ana")
 	assert.NilError(t, err)
 	_, err = s.Approve(t.Context(), id, p.Digest, "ben")
 	assert.NilError(t, err)
-	at, err := s.Roll(t.Context(), id, "ana")
-	assert.NilError(t, err)
-	return at
 }
 
 func TestFirstRollAndRollback(t *testing.T) {
@@ -169,14 +175,11 @@
 		p := storetest.New()
 		s := NewStore(p)
 		mustRoll(t, s, "one", 0, variant(t, 1))
-		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
-		assert.NilError(t, err)
-		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
-		assert.NilError(t, err)
+		mustApprove(t, s, "two", 1, variant(t, 2))
 		p.FailNext(storetest.OpSwap, 1, storetest.ReplyLost)
 		p.FailNext(storetest.OpGet, 2, storetest.NoFault)
 		p.FailNext(storetest.OpGet, 20, storetest.Unavailable)
-		_, err = s.Roll(t.Context(), "two", "ana")
+		_, err := s.Roll(t.Context(), "two", "ana")
 		assert.ErrorIs(t, err, store.ErrOutcomeUnknown)
 		for {
 			at, err := s.Roll(t.Context(), "two", "ana")
@@ -248,10 +251,7 @@
 		p := storetest.New()
 		s := NewStore(p)
 		mustRoll(t, s, "one", 0, variant(t, 1))
-		proposal, err := s.Propose(t.Context(), Change{ID: "two", Base: 1, Content: variant(t, 2)}, "ana")
-		assert.NilError(t, err)
-		_, err = s.Approve(t.Context(), "two", proposal.Digest, "ben")
-		assert.NilError(t, err)
+		mustApprove(t, s, "two", 1, variant(t, 2))
 		p.FailNext(storetest.OpSwap, 1, storetest.ReplyLost)
 		rolled := make(chan error)
 		go func() {
