Keep the positions of fields in the messages on records and loads

Daemons of two versions, as in a roll-out, could not read each other's records and loads since the two fixes named below: messages between daemons are arrays, so a field is known by its position. The fix of DRAIN removed a field in the middle of the response on records, and the waits by urgency put one into the middle of a server's load; decoding failed with 'invalid code decoding array length'.

The response keeps the place of the removed field, and the backlog by urgency moved to the end of the load. Found by reading, before any roll-out.

--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -48,6 +48,8 @@
 	// AgeMs is the time in milliseconds since the sender's copy was known to be
 	// current.
 	AgeMs int64
+	// Unused keeps the position of a field that older versions read and write.
+	Unused bool
 	// Complete is set when Packed holds all records instead of changes.
 	Complete bool
 	// Packed is a list of records in msgpack, compressed with gzip. It is empty
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -22,13 +22,14 @@
 	Tight   int32
 	// Backlog is the number of prompt tokens that have not been read yet.
 	Backlog int32
-	// BacklogByUrgency divides Backlog, without trailing zeros.
-	BacklogByUrgency []int32
 	// MemoryUsed is the memory that the requests need, in tokens.
 	MemoryUsed int32
 	// Parts holds the hashes of the shared prompt parts that were sent to the
 	// server since the previous message.
 	Parts []uint64
+	// BacklogByUrgency divides Backlog, without trailing zeros. Daemons of older
+	// versions do not send it.
+	BacklogByUrgency []int32
 }
 
 // id identifies the server instance that the load is on.
