Name the range of urgencies once

placement had a constant of its own for the number of urgencies beside route.MaxUrgency. It uses the latter now; comments in forward say what each of the two ranks of a request decides. No behaviour changed; tests of placement, forward, route, daemon and report pass.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -164,8 +164,9 @@
 	service  string
 	customer string
 	// priority is that of the customer, or of the route if the customer has none.
+	// It decides how long the request may wait.
 	priority int
-	// urgency is sent to servers.
+	// urgency is the rank at the server, by both priorities.
 	urgency  int
 	deadline time.Time
 
@@ -284,7 +285,8 @@
 		"first_ms", q.timeToFirstByte().Milliseconds(), "gap_ms", q.longestGap.Milliseconds(),
 		"target_ms", target.Milliseconds(), "gap_limit_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"urgency", q.urgency, "backlog_tokens", q.estimate.BacklogTokens, "missing_tokens", q.estimate.UncachedTokens,
-		"running", q.estimate.Running, "memory_tokens", q.estimate.MemoryTokens, "config", int64(version), "servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds())
+		"running", q.estimate.Running, "memory_tokens", q.estimate.MemoryTokens, "config", int64(version),
+		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds())
 }
 
 // timeToFirstByte returns the time from arrival to the first relayed byte of
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -1,16 +1,17 @@
 package placement
 
-import "slices"
+import (
+	"slices"
 
-// Urgencies is the number of urgencies of requests, from 0, the most urgent.
-const Urgencies = 10
+	"github.com/jacinththread/jacinththread/route"
+)
 
 // backlog holds the number of prompt tokens that a server has not read yet, by the
 // urgency of their requests. A server reads the prompts of more urgent requests first.
-type backlog [Urgencies]int32
+type backlog [route.MaxUrgency + 1]int32
 
 // total returns the tokens of all requests.
-func (b *backlog) total() float64 { return b.ahead(Urgencies - 1) }
+func (b *backlog) total() float64 { return b.ahead(route.MaxUrgency) }
 
 // ahead returns the tokens that are read before those of a new request.
 func (b *backlog) ahead(urgency int) float64 {
@@ -36,7 +37,7 @@
 
 // encode returns the backlog without its trailing zeros.
 func (b *backlog) encode() []int32 {
-	n := Urgencies
+	n := len(b)
 	for n > 0 && b[n-1] == 0 {
 		n--
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -52,7 +52,7 @@
 	// of it to be read; zero means no bound.
 	MaxWait time.Duration
 	// Urgency is the rank of the request at the server, from 0, the most urgent, to
-	// Urgencies-1.
+	// route.MaxUrgency.
 	Urgency int
 	// Domain is the failure domain of the local daemon.
 	Domain string
