--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -141,9 +141,9 @@
 	return out
 }
 
-// Merge applies changes that make the copy complete up to revision at. It ignores them if the copy is complete up to a later revision: peers do
-// not send renewals, so the revision of a renewed record may be too low here to
-// reject an older change.
+// Merge applies changes that make the copy complete up to revision at. It ignores
+// them if the copy is complete up to a later revision: peers do not send renewals,
+// so the revision of a renewed record may be too low here to reject an older change.
 func (c *Copy) Merge(changes []store.Entry, at store.Revision, confirmed Confirmation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,9 +167,9 @@
 	c.dropOldTombstones(confirmed.AsOf)
 }
 
-// Replace applies a full list of the store's records at a revision.
-// Known records that are not listed are deleted unless they are newer. Like Merge,
-// it ignores a list that is older than the copy.
+// Replace applies a full list of the store's records at a revision. Known records
+// that are not listed are deleted unless they are newer. Like Merge, it ignores a
+// list that is older than the copy.
 func (c *Copy) Replace(all []store.Entry, at store.Revision, confirmed Confirmation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
