--- a/mirror/exchange_test.go
+++ b/mirror/exchange_test.go
@@ -80,7 +80,8 @@
 		sources["a"].change(func() { sources["a"].unavailable = false })
 		time.Sleep(maxApplyDelay) // A round may be in progress.
 		quiet := net["b"].sent.Load()
-		// Heartbeats keep the watches from waiting.
+		time.Sleep(time.Minute)
+		assert.Equal(t, net["b"].sent.Load(), quiet, "daemons that reach an idle store exchange nothing")
 		for i := range 240 {
 			put(fmt.Sprint("beat-", i))
 			time.Sleep(250 * time.Millisecond)
