--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -167,6 +167,7 @@
 	if err != nil {
 		return q.endFailedAttempt(ctx, inFlight, err)
 	}
+	q.serverLimit, _ = q.cfg.HeaderCodec.RateLimit(resp.Header)
 	if q.cfg.HeaderCodec.NotRun(resp.Status, resp.Header) {
 		return q.endRefusedAttempt(inFlight, resp)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -77,6 +77,9 @@
 	// IsAuthentic reports whether, according to its header, a successful response
 	// carries the server's signature and the bytes that the server itself sent.
 	IsAuthentic(h http.Header) bool
+	// RateLimit returns the number of requests per second that a server states it
+	// takes from all daemons together. It reports false if the header states none.
+	RateLimit(h http.Header) (perSecond float64, stated bool)
 	// SetRequestID sets the request ID on a response that the router itself
 	// generates.
 	SetRequestID(h http.Header, id string)
@@ -193,6 +196,9 @@
 	estimate placement.Estimate
 	// readyServers is the number of ready servers at the last placement.
 	readyServers int
+	// serverLimit is the rate limit that the last response stated, in requests per
+	// second, or zero.
+	serverLimit float64
 }
 
 // admit determines the route, customer, service and deadline. If the request
@@ -286,7 +292,7 @@
 		"target_ms", target.Milliseconds(), "gap_limit_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"urgency", q.urgency, "backlog_tokens", q.estimate.BacklogTokens, "missing_tokens", q.estimate.UncachedTokens,
 		"running", q.estimate.Running, "memory_tokens", q.estimate.MemoryTokens, "config", int64(version),
-		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds())
+		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds(), "server_limit", q.serverLimit)
 }
 
 // timeToFirstByte returns the time from arrival to the first relayed byte of
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -58,6 +58,11 @@
 
 func (testHeaderCodec) IsAuthentic(h http.Header) bool { return h.Get("Seal") != "" }
 
+func (testHeaderCodec) RateLimit(h http.Header) (float64, bool) {
+	limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return limit, err == nil
+}
+
 func (testHeaderCodec) SetRequestID(h http.Header, id string) { h.Set("Id", id) }
 
 // run is a request that a server started to process.
