Keep the rate limits that servers state, over all daemons together

Cause: nothing read the limit (hypothesis 1). Applying it in each daemon would not have helped (hypothesis 2): no daemon alone sent more than three in 4 s.

Change: package ratelimit. Time is divided into slots, each slot of a server permits a number of requests and belongs to one daemon, by consistent hashing over the daemons that are alive or registered. Statements spread by gossip; a daemon that starts asks others first. A daemon that sees neither the store nor half of the others uses no slots. Requests that a limit doesn't permit go to other servers; if there are none, they wait for a permit up to half of their target and are then refused with 503.

--- a/entry/expiry_test.go
+++ b/entry/expiry_test.go
@@ -16,6 +16,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/peer/peertest"
 	"github.com/jacinththread/jacinththread/store"
@@ -144,6 +145,7 @@
 		source := recordSource{recordStore: s, daemon: name}
 		registry := metrics.NewRegistry()
 		d := New(&Settings{Peers: name}, Adapter{Decoder: plainDecoder{}, Source: source}, Instruments{Log: logger, Metrics: registry})
+		d.fleet.daemons = func() []membership.Daemon { return nil }
 		fleet[name] = d
 		without := func(list []string) []string {
 			return slices.DeleteFunc(slices.Clone(list), func(n string) bool { return n == name })
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -39,6 +39,15 @@
 // domains.
 func (f *fleet) Live() placement.Fleet { return f.view().fleet }
 
+// OtherNames returns the names of the other live daemons.
+func (f *fleet) OtherNames() []string {
+	var names []string
+	for _, p := range f.Live().Others {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
 // Watchers returns the daemons that watch the store: all daemons of a small fleet,
 // or watchersPerDomain daemons of the local failure domain in a large one.
 func (f *fleet) Watchers() mirror.Watchers { return f.view().watchers }
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -22,6 +22,7 @@
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/telemetry"
 	"github.com/jacinththread/jacinththread/upstream"
@@ -40,6 +41,7 @@
 	metricsName      = "metrics.http"
 	callersName      = "callers.http"
 	registerName     = "registration"
+	limitsName       = "ratelimit.exchange"
 )
 
 const (
@@ -80,15 +82,16 @@
 	metrics metrics.Registry
 	tracer  trace.Tracer
 
-	copy    *mirror.Copy
-	records *records
-	catalog *backend.Catalog
-	pool    *upstream.Pool
-	tracker *placement.Tracker
-	budget  *budget.Budget
-	members *membership.Service
-	fleet   fleet
-	callers *ingress.Server
+	copy       *mirror.Copy
+	records    *records
+	catalog    *backend.Catalog
+	pool       *upstream.Pool
+	tracker    *placement.Tracker
+	budget     *budget.Budget
+	rateLimits *ratelimit.Limiter
+	members    *membership.Service
+	fleet      fleet
+	callers    *ingress.Server
 	// resolve returns the peer address of a daemon. It is nil until the membership
 	// service exists, which itself needs the peer service.
 	resolve atomic.Pointer[func(string) (string, bool)]
@@ -114,6 +117,7 @@
 	d.pool = upstream.NewPool(d.metrics)
 	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
 	d.budget = budget.New(s.Budget, d.daemonCount)
+	d.rateLimits = ratelimit.New(s.Peers, d.log, d.metrics)
 	d.fleet.self = placement.Peer{Name: s.Peers, Domain: s.Domain}
 	d.fleet.daemons = func() []membership.Daemon { return d.members.Daemons() }
 	return d
@@ -134,6 +138,7 @@
 		{Name: membershipName, Requires: []string{peerName}, New: d.newMembership},
 		{Name: exchangeName, Requires: []string{peerName, membershipName}, New: d.newExchange},
 		{Name: loadExchangeName, Requires: []string{peerName, membershipName}, New: d.newLoadExchange},
+		{Name: limitsName, Requires: []string{peerName, membershipName}, New: d.newLimitExchange},
 		{Name: followerName, Requires: []string{membershipName}, New: d.newFollower},
 		{Name: registerName, New: d.newRegistration},
 		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
@@ -203,6 +208,14 @@
 	return placement.NewLoadExchange(d.tracker, node, d.fleet.Live, d.log, d.metrics), nil
 }
 
+func (d *Daemon) newLimitExchange(r kernel.Registry) (kernel.Service, error) {
+	node, err := kernel.Get[*peer.Node](r, peerName)
+	if err != nil {
+		return nil, err
+	}
+	return ratelimit.NewExchange(d.rateLimits, node, d.fleet.OtherNames, d.log, d.metrics), nil
+}
+
 // peers returns the names of the other daemons that are alive or suspected and in
 // the local region.
 func (d *Daemon) peers() []string {
@@ -260,7 +273,7 @@
 
 func (d *Daemon) newCallers(kernel.Registry) (kernel.Service, error) {
 	f := forward.New(forward.Config{
-		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget,
+		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget, Limits: d.rateLimits,
 		HeaderCodec: d.adapter.HeaderCodec, Domain: d.settings.Domain, CatalogFreshness: d.catalogFreshness, Log: d.log, Metrics: d.metrics, Tracer: d.tracer,
 	})
 	d.callers = ingress.New(ingress.Config{
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/ratelimit"
 )
 
 const (
@@ -26,11 +28,25 @@
 	}), nil
 }
 
-// upkeep removes servers, connections and placement statistics that are no longer
-// needed, and counts the registered daemons.
-func (d *Daemon) upkeep(time.Time) {
+// registeredDaemons returns the names of the daemons that have a record in the store.
+func (d *Daemon) registeredDaemons() []string {
+	var names []string
+	for _, e := range d.copy.Records(DaemonsPrefix) {
+		names = append(names, strings.TrimPrefix(e.Key, DaemonsPrefix))
+	}
+	return names
+}
+
+// upkeep removes what is kept about servers that are gone, and tells the budget and the
+// rate limits which daemons share them.
+func (d *Daemon) upkeep(now time.Time) {
 	d.catalog.RemoveExpired(freshness(d.copy.Status()))
 	d.pool.Sweep(d.catalog.Usable)
 	d.tracker.Forget(d.catalog.Known)
-	d.registered.Store(int64(len(d.copy.Records(DaemonsPrefix))))
+	d.rateLimits.Forget(d.catalog.Known)
+	registered := d.registeredDaemons()
+	d.registered.Store(int64(len(registered)))
+	d.rateLimits.SetView(ratelimit.View{
+		Alive: append(d.fleet.OtherNames(), d.settings.Peers), Registered: registered, RecordsAge: now.Sub(d.copy.Status().Updated),
+	}, now)
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -80,15 +80,10 @@
 }
 
 // placeAndSend chooses a server and sends the request to it. If no server is
-// available, it sends the error response and returns false.
+// available, it ends the request and returns false.
 func (q *request) placeAndSend(ctx context.Context) (attemptResult, bool) {
-	inFlight, refusal := q.place()
-	if refusal != nil {
-		q.refuseOverloaded(ctx, refusal)
-		return attemptResult{}, false
-	}
+	inFlight := q.chooseServer(ctx)
 	if inFlight == nil {
-		q.giveUp(ctx, attemptResult{runState: notRun, err: errNoServer})
 		return attemptResult{}, false
 	}
 	q.lastServer = inFlight.Server
@@ -102,8 +97,38 @@
 	errOverloaded = errors.New("servers have more work than the request can wait for")
 )
 
-// place chooses one of the ready servers that were not tried yet.
-func (q *request) place() (*placement.InFlight, *placement.Refusal) {
+// chooseServer chooses one of the ready servers that were not tried yet and whose rate
+// limits permit a request. If there is none, it ends the request and returns nil.
+func (q *request) chooseServer(ctx context.Context) *placement.InFlight {
+	q.cfg.Limits.AwaitComplete(ctx)
+	for {
+		untried := q.untriedServers()
+		permitted := q.permitted(untried)
+		if len(permitted) == 0 && len(untried) > 0 {
+			if !q.awaitPermit(ctx, untried) {
+				return nil
+			}
+			continue
+		}
+		inFlight, refusal := q.place(permitted)
+		if refusal != nil {
+			q.refuseOverloaded(ctx, refusal)
+			return nil
+		}
+		if inFlight == nil {
+			q.giveUp(ctx, attemptResult{runState: notRun, err: errNoServer})
+			return nil
+		}
+		now := time.Now()
+		if q.cfg.Limits.Take(inFlight.Server.Instance(), now) {
+			return inFlight
+		}
+		inFlight.End(now, placement.Abandoned) // Another request took the permit.
+	}
+}
+
+// untriedServers returns the ready servers that were not tried yet.
+func (q *request) untriedServers() []*backend.Server {
 	var untried []*backend.Server
 	ready := q.cfg.Catalog.Ready(q.service)
 	q.readyServers = len(ready)
@@ -112,11 +137,16 @@
 			untried = append(untried, s)
 		}
 	}
+	return untried
+}
+
+// place chooses one of the given servers.
+func (q *request) place(servers []*backend.Server) (*placement.InFlight, *placement.Refusal) {
 	memory := 0
 	if s := q.table.Service(q.service); s != nil && s.Engine != nil {
 		memory = s.Engine.MemoryTokens
 	}
-	return q.cfg.Tracker.Place(time.Now(), untried, placement.Request{
+	return q.cfg.Tracker.Place(time.Now(), servers, placement.Request{
 		Memory: memory, MaxWait: q.maxWait(), Urgency: q.urgency,
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
 		Gap:   q.route.GapTarget,
@@ -167,7 +197,7 @@
 	if err != nil {
 		return q.endFailedAttempt(ctx, inFlight, err)
 	}
-	q.serverLimit, _ = q.cfg.HeaderCodec.RateLimit(resp.Header)
+	q.observeLimit(inFlight.Server, resp)
 	if q.cfg.HeaderCodec.NotRun(resp.Status, resp.Header) {
 		return q.endRefusedAttempt(inFlight, resp)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/upstream"
 )
@@ -93,6 +94,7 @@
 	Pool        *upstream.Pool
 	Tracker     *placement.Tracker
 	Budget      *budget.Budget
+	Limits      *ratelimit.Limiter
 	HeaderCodec HeaderCodec
 	// Domain is the failure domain of the local daemon.
 	Domain string
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/upstream"
 )
@@ -121,6 +122,7 @@
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
 		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Second },
 		Tracker:          placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
+		Limits:      d.limits(),
 		HeaderCodec: testHeaderCodec{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
 	})
 	d.ingress = ingress.New(ingress.Config{
@@ -131,6 +133,14 @@
 	d.t.Cleanup(func() { d.ingress.Stop(context.Background()) })
 }
 
+// limits returns the rate limiter of a fleet of one daemon.
+func (d *deployment) limits() *ratelimit.Limiter {
+	l := ratelimit.New("self", d.log, metrics.NewRegistry())
+	l.MarkComplete()
+	l.SetView(ratelimit.View{Alive: []string{"self"}}, time.Now())
+	return l
+}
+
 // put adds or replaces a server in the catalog.
 func (d *deployment) put(s backend.Server) {
 	d.catalog.Apply([]backend.Change{{ID: s.ID, Server: &s}}, backend.Freshness{AsOf: time.Now()})
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -43,6 +43,7 @@
 
 	KindServerLoads  Kind = 60
 	KindServerTotals Kind = 61
+	KindServerLimits Kind = 62
 
 	KindClaim      Kind = 64
 	KindClaimReply Kind = 65
--- /dev/null
+++ b/ratelimit/holders.go
@@ -0,0 +1,64 @@
+package ratelimit
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// reclaimDelay is how long a daemon that is neither alive nor registered keeps its
+	// slots. It may be cut off and still use them.
+	reclaimDelay = 10 * time.Second
+	// minorityReclaimDelay replaces reclaimDelay while the local daemon sees less than
+	// half of the slots' owners alive. The others may then be the larger part of the
+	// fleet.
+	minorityReclaimDelay = time.Minute
+	// maxRecordsAge is the age of the store's records from which a daemon that sees less
+	// than half of the owners alive uses no slots. It is shorter than reclaimDelay, after
+	// which the others may use them.
+	maxRecordsAge = 5 * time.Second
+)
+
+// View is what a daemon knows of the fleet.
+type View struct {
+	// Alive holds the names of the live daemons, including the local one.
+	Alive []string
+	// Registered holds the names of the daemons that have a record in the store.
+	Registered []string
+	// RecordsAge is the time since the store's records were last confirmed.
+	RecordsAge time.Duration
+}
+
+// holders determines which daemons own slots.
+type holders struct {
+	lastSeen map[string]time.Time
+	// names is the sorted content of the ring.
+	names []string
+	ring  *ring
+	// paused is set while the local daemon must not use its own slots.
+	paused bool
+}
+
+func newHolders() *holders { return &holders{lastSeen: map[string]time.Time{}, ring: newRing(nil)} }
+
+// update applies the current view.
+func (h *holders) update(v View, now time.Time) {
+	for _, names := range [][]string{v.Alive, v.Registered} {
+		for _, n := range names {
+			h.lastSeen[n] = now
+		}
+	}
+	minority := 2*len(v.Alive) <= len(h.lastSeen)
+	h.paused = minority && v.RecordsAge > maxRecordsAge
+	delay := reclaimDelay
+	if minority {
+		delay = minorityReclaimDelay
+	}
+	maps.DeleteFunc(h.lastSeen, func(_ string, seen time.Time) bool { return now.Sub(seen) > delay })
+	names := slices.Sorted(maps.Keys(h.lastSeen))
+	if slices.Equal(names, h.names) {
+		return
+	}
+	h.names, h.ring = names, newRing(names)
+}
