--- a/backend/backend.go
+++ b/backend/backend.go
@@ -35,6 +35,8 @@
 	// ID is unique among running servers.
 	ID      string
 	Service string
+	// Version is the version of the server's software, or empty if it isn't known.
+	Version string
 	// Addr is the IP address and port.
 	Addr   string
 	Domain string
@@ -147,7 +149,7 @@
 	}
 	c.servers[s.ID] = s
 	if old == nil || old.Started != s.Started || old.Draining != s.Draining || old.Addr != s.Addr {
-		c.log.Info("backend server changed", "server", s.ID, "service", s.Service, "addr", s.Addr,
+		c.log.Info("backend server changed", "server", s.ID, "service", s.Service, "version", s.Version, "addr", s.Addr,
 			"domain", s.Domain, "draining", s.Draining, "started", s.Started, "revision", s.Revision)
 	}
 	return true
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,6 +41,9 @@
 	// LastEvent is the ID of the last event that the caller received of a
 	// stream that it resumes, or empty.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of that stream, or
+	// empty.
+	Resumes string
 }
 
 // ServerMeta holds the values that the router adds to a request before it sends
@@ -277,13 +280,13 @@
 	if q.table != nil {
 		version = q.table.Version()
 	}
-	name, server := "", ""
+	name, server, softwareVersion := "", "", ""
 	var target, gapTarget time.Duration
 	if q.route != nil {
 		name, target, gapTarget = q.route.Name, q.route.Target, q.route.GapTarget
 	}
 	if q.lastServer != nil {
-		server = q.lastServer.ID
+		server, softwareVersion = q.lastServer.ID, q.lastServer.Version
 	}
 	q.setSpanAttributes(name, server)
 	revision, age := q.cfg.CatalogFreshness()
@@ -294,7 +297,8 @@
 		"target_ms", target.Milliseconds(), "gap_limit_ms", gapTarget.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"urgency", q.urgency, "backlog_tokens", q.estimate.BacklogTokens, "missing_tokens", q.estimate.UncachedTokens,
 		"running", q.estimate.Running, "memory_tokens", q.estimate.MemoryTokens, "config", int64(version),
-		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds(), "server_limit", q.serverLimit)
+		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds(), "server_limit", q.serverLimit,
+		"version", softwareVersion, "resumes", q.meta.Resumes, "after", q.meta.LastEvent)
 }
 
 // timeToFirstByte returns the time from arrival to the first relayed byte of
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -32,7 +32,7 @@
 type testHeaderCodec struct{}
 
 func (testHeaderCodec) Meta(h http.Header) RequestMeta {
-	m := RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	m := RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
 	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
 		m.Wait = time.Duration(ms) * time.Millisecond
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -82,7 +82,8 @@
 		result = placement.Unreachable
 	}
 	res.inFlight.End(time.Now(), result)
-	q.cfg.Log.Info("answer discarded", "request_id", q.meta.ID, "server", res.inFlight.Server.ID, "err", err)
+	q.cfg.Log.Info("answer discarded", "request_id", q.meta.ID, "server", res.inFlight.Server.ID,
+		"version", res.inFlight.Server.Version, "relayed", q.w.Started(), "err", err)
 	if q.shouldRetry(ctx, res) {
 		return true
 	}
