--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/jacinththread/jacinththread/hashring"
 )
 
 const (
@@ -35,12 +37,12 @@
 	lastSeen map[string]time.Time
 	// names is the sorted content of the ring.
 	names []string
-	ring  *ring
+	ring  *hashring.Ring
 	// paused is set while the local daemon must not use its own slots.
 	paused bool
 }
 
-func newHolders() *holders { return &holders{lastSeen: map[string]time.Time{}, ring: newRing(nil)} }
+func newHolders() *holders { return &holders{lastSeen: map[string]time.Time{}, ring: hashring.New(nil)} }
 
 // update applies the current view.
 func (h *holders) update(v View, now time.Time) {
@@ -60,5 +62,5 @@
 	if slices.Equal(names, h.names) {
 		return
 	}
-	h.names, h.ring = names, newRing(names)
+	h.names, h.ring = names, hashring.New(names)
 }
--- a/ratelimit/schedule.go
+++ b/ratelimit/schedule.go
@@ -1,8 +1,13 @@
 package ratelimit
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinththread/jacinththread/hashring"
 )
 
 const (
@@ -62,10 +67,10 @@
 }
 
 // advance collects the permits of the slots that have begun and drops expired ones.
-func (s *schedule) advance(now int64, r *ring, self string) {
+func (s *schedule) advance(now int64, r *hashring.Ring, self string) {
 	s.nextSlot = max(s.nextSlot, (now-s.validity)/s.slotLength)
 	for ; s.nextSlot*s.slotLength <= now; s.nextSlot++ {
-		if r.owner(s.server, s.nextSlot) == self {
+		if r.Owner(slotHash(s.server, s.nextSlot)) == self {
 			s.permits = append(s.permits, permit{s.requestsIn(s.nextSlot), s.nextSlot*s.slotLength + s.validity})
 		}
 	}
@@ -88,11 +93,17 @@
 
 // nextPermit returns the time until the local daemon's next slot that begins within the
 // horizon, or false if there is none. It must be called after advance.
-func (s *schedule) nextPermit(now, horizon int64, r *ring, self string) (time.Duration, bool) {
+func (s *schedule) nextPermit(now, horizon int64, r *hashring.Ring, self string) (time.Duration, bool) {
 	for slot := s.nextSlot; slot*s.slotLength <= now+horizon; slot++ {
-		if s.requestsIn(slot) > 0 && r.owner(s.server, slot) == self {
+		if s.requestsIn(slot) > 0 && r.Owner(slotHash(s.server, slot)) == self {
 			return time.Duration(slot*s.slotLength - now), true
 		}
 	}
 	return 0, false
 }
+
+// slotHash returns the hash by which a slot of a server is assigned to a daemon.
+func slotHash(server string, slot int64) uint64 {
+	b := binary.LittleEndian.AppendUint64([]byte(server), uint64(slot))
+	return xxhash.Sum64(b)
+}
