Let streams go on only at the software version that began them

Cause: nothing read the version of a server's record nor which stream a request takes up. An address that is used again is not the cause (hypothesis 3): the server named by the request is checked there.

Change: the daemon that relays a stream's first event stores the version with three daemons, chosen by consistent hashing of the request's ID; a daemon that is asked to take the stream up asks five. What it can't learn it refuses, as nothing has run. Both resumes choose only among servers of that version.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/jacinththread/jacinththread/hashring"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/placement"
@@ -33,6 +34,8 @@
 	daemons  []membership.Daemon
 	fleet    placement.Fleet
 	watchers mirror.Watchers
+	// ring has the live daemons, including the local one.
+	ring *hashring.Ring
 }
 
 // Live returns the local daemon and the other live ones with their failure
@@ -40,13 +43,10 @@
 func (f *fleet) Live() placement.Fleet { return f.view().fleet }
 
 // OtherNames returns the names of the other live daemons.
-func (f *fleet) OtherNames() []string {
-	var names []string
-	for _, p := range f.Live().Others {
-		names = append(names, p.Name)
-	}
-	return names
-}
+func (f *fleet) OtherNames() []string { return f.Live().OtherNames() }
+
+// Ring returns the hash ring of the live daemons, including the local one.
+func (f *fleet) Ring() *hashring.Ring { return f.view().ring }
 
 // Watchers returns the daemons that watch the store: all daemons of a small fleet,
 // or watchersPerDomain daemons of the local failure domain in a large one.
@@ -60,6 +60,7 @@
 	}
 	v := &fleetView{daemons: daemons, fleet: f.liveFleet(daemons)}
 	v.watchers = selectWatchers(v.fleet)
+	v.ring = hashring.New(append(v.fleet.OtherNames(), f.self.Name))
 	f.last.Store(v)
 	return v
 }
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -23,6 +23,7 @@
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/placement"
 	"github.com/jacinththread/jacinththread/ratelimit"
+	"github.com/jacinththread/jacinththread/resume"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/telemetry"
 	"github.com/jacinththread/jacinththread/upstream"
@@ -144,7 +145,7 @@
 		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
 		{Name: directoryName, Requires: []string{membershipName}, New: d.newDirectory},
 		{Name: readyName, New: d.newReady},
-		{Name: callersName, Requires: []string{membershipName, followerName}, New: d.newCallers},
+		{Name: callersName, Requires: []string{peerName, membershipName, followerName}, New: d.newCallers},
 	}
 	if d.settings.Metrics != "" {
 		modules = append(modules, kernel.Module{Name: metricsName, New: d.newMetrics})
@@ -271,9 +272,14 @@
 	}
 }
 
-func (d *Daemon) newCallers(kernel.Registry) (kernel.Service, error) {
+func (d *Daemon) newCallers(r kernel.Registry) (kernel.Service, error) {
+	node, err := kernel.Get[*peer.Node](r, peerName)
+	if err != nil {
+		return nil, err
+	}
 	f := forward.New(forward.Config{
 		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget, Limits: d.rateLimits,
+		Streams:     resume.New(node, d.fleet.Ring, d.log, d.metrics),
 		HeaderCodec: d.adapter.HeaderCodec, Domain: d.settings.Domain, CatalogFreshness: d.catalogFreshness, Log: d.log, Metrics: d.metrics, Tracer: d.tracer,
 	})
 	d.callers = ingress.New(ingress.Config{
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -116,7 +116,7 @@
 			return nil
 		}
 		if inFlight == nil {
-			q.giveUp(ctx, attemptResult{runState: notRun, err: errNoServer})
+			q.giveUp(ctx, attemptResult{runState: notRun, err: q.noServerError()})
 			return nil
 		}
 		now := time.Now()
@@ -127,13 +127,13 @@
 	}
 }
 
-// untriedServers returns the ready servers that were not tried yet.
+// untriedServers returns the ready servers that may serve the request and were not tried yet.
 func (q *request) untriedServers() []*backend.Server {
 	var untried []*backend.Server
 	ready := q.cfg.Catalog.Ready(q.service)
 	q.readyServers = len(ready)
 	for _, s := range ready {
-		if !q.tried[s.Instance()] {
+		if !q.tried[s.Instance()] && q.mayContinue(s) {
 			untried = append(untried, s)
 		}
 	}
@@ -155,10 +155,10 @@
 }
 
 // maxWait returns how long the request may queue at a server behind earlier
-// requests. A request that may already have run elsewhere is accepted whatever
-// the queue.
+// requests. A request that may already have run elsewhere, or takes up a stream, is
+// accepted whatever the queue.
 func (q *request) maxWait() time.Duration {
-	if q.attempts > 0 {
+	if q.attempts > 0 || q.origin != nil {
 		return 0
 	}
 	return placement.MaxWait(q.route.Target, q.priority)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
 	"github.com/jacinththread/jacinththread/ratelimit"
+	"github.com/jacinththread/jacinththread/resume"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/upstream"
 )
@@ -98,6 +99,7 @@
 	Tracker     *placement.Tracker
 	Budget      *budget.Budget
 	Limits      *ratelimit.Limiter
+	Streams     StreamOrigins
 	HeaderCodec HeaderCodec
 	// Domain is the failure domain of the local daemon.
 	Domain string
@@ -155,6 +157,11 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 	defer cancel()
+	if q.takesUpStream() && !q.findOrigin(ctx) {
+		q.recordOutcome()
+		return
+	}
+	q.cfg.Budget.RecordRequest(q.service, time.Now())
 	q.run(ctx)
 	q.recordOutcome()
 }
@@ -189,6 +196,9 @@
 	status     int
 	reason     string
 	stream     *eventSplitter
+	// origin is where the stream began of which the caller has events, or nil if it has
+	// none.
+	origin *resume.Origin
 	// sentAt is when the request was last sent to a server.
 	sentAt time.Time
 	// firstByteAt is when the first bytes of a response body were relayed.
@@ -226,7 +236,6 @@
 	q.service = q.route.Pick(rand.Float64())
 	q.deadline = q.in.Arrived.Add(q.timeout())
 	q.tried = map[backend.Instance]bool{}
-	q.cfg.Budget.RecordRequest(q.service, time.Now())
 	return true
 }
 
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
 	"github.com/jacinththread/jacinththread/ratelimit"
+	"github.com/jacinththread/jacinththread/resume"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/upstream"
 )
@@ -90,6 +91,7 @@
 	limit   budget.Limit
 	tracer  trace.Tracer
 	log     *log.Logger
+	origins knownOrigins
 
 	mu   sync.Mutex
 	runs []run
@@ -98,6 +100,16 @@
 	arrivals int
 }
 
+// knownOrigins holds where the streams began that callers may take up.
+type knownOrigins map[string]resume.Origin
+
+func (k knownOrigins) Record(string, resume.Origin) {}
+
+func (k knownOrigins) Lookup(_ context.Context, stream string) (resume.Origin, bool) {
+	o, ok := k[stream]
+	return o, ok
+}
+
 // serverBehavior handles a request that was read from c. It returns true to
 // keep the connection open.
 type serverBehavior func(d *deployment, c net.Conn, r *bufio.Reader, req run) (keep bool)
@@ -122,7 +134,7 @@
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
 		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Second },
 		Tracker:          placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
-		Limits:      d.limits(),
+		Limits: d.limits(), Streams: d.origins,
 		HeaderCodec: testHeaderCodec{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
 	})
 	d.ingress = ingress.New(ingress.Config{
@@ -151,7 +163,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(d.t, err)
 	d.t.Cleanup(func() { l.Close() })
-	d.put(backend.Server{ID: id, Service: "s", Addr: l.Addr().String()})
+	d.put(backend.Server{ID: id, Service: "s", Version: "v1", Addr: l.Addr().String()})
 	go func() {
 		for {
 			c, err := l.Accept()
--- /dev/null
+++ b/forward/origin.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/resume"
+	"github.com/jacinththread/jacinththread/route"
+)
+
+// unknownOriginRetryAfter is the retry delay for callers whose stream can't be taken up now.
+const unknownOriginRetryAfter = 300 * time.Millisecond
+
+var (
+	errUnknownOrigin = errors.New("software version that began the stream is not known")
+	errServiceLeft   = errors.New("route no longer leads to the service that began the stream")
+	errNoSameVersion = errors.New("service has no server of the software version that began the stream")
+)
+
+// StreamOrigins stores and finds where streams began. See resume.Directory.
+type StreamOrigins interface {
+	Record(stream string, origin resume.Origin)
+	Lookup(ctx context.Context, stream string) (resume.Origin, bool)
+}
+
+// takesUpStream reports whether the caller takes up a stream of which it already has events.
+func (q *request) takesUpStream() bool {
+	return q.route.Kind == route.Streaming && q.route.Resumable && q.meta.LastEvent != ""
+}
+
+// findOrigin determines where the stream that the caller takes up began. If the stream can't
+// go on there, it refuses the request and returns false.
+func (q *request) findOrigin(ctx context.Context) bool {
+	origin, ok := q.cfg.Streams.Lookup(ctx, q.meta.Resumes)
+	if !ok {
+		q.refuseTakeUp(errUnknownOrigin, origin)
+		return false
+	}
+	leads := func(s route.Share) bool { return s.Service == origin.Service }
+	if !slices.ContainsFunc(q.route.Shares, leads) {
+		q.refuseTakeUp(errServiceLeft, origin)
+		return false
+	}
+	q.service, q.origin = origin.Service, &origin
+	return true
+}
+
+func (q *request) refuseTakeUp(err error, origin resume.Origin) {
+	q.cfg.Log.Info("stream not taken up", "request_id", q.meta.ID, "resumes", q.meta.Resumes, "after", q.meta.LastEvent,
+		"service", origin.Service, "version", origin.Version, "err", err)
+	q.refuse(http.StatusServiceUnavailable, err.Error(), unknownOriginRetryAfter)
+}
+
+// beginStream records the server whose events are the first that the caller gets.
+func (q *request) beginStream(s *backend.Server) {
+	if q.origin != nil {
+		return
+	}
+	q.origin = &resume.Origin{Service: q.service, Version: s.Version}
+	if q.route.Resumable {
+		q.cfg.Streams.Record(q.meta.ID, *q.origin)
+	}
+}
+
+// mayContinue reports whether a server may send the next events: any server if the caller
+// has none yet, otherwise only one of the version that began the stream.
+func (q *request) mayContinue(s *backend.Server) bool {
+	return q.origin == nil || q.origin.Version != "" && s.Version == q.origin.Version
+}
+
+// noServerError returns why there is no server to try.
+func (q *request) noServerError() error {
+	if q.origin != nil {
+		return errNoSameVersion
+	}
+	return errNoServer
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -153,6 +153,7 @@
 		return err
 	}
 	res.inFlight.RecordProgress(time.Now())
+	q.beginStream(res.inFlight.Server)
 	return q.writeEvents(res.response, complete)
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,6 +45,10 @@
 	KindServerTotals Kind = 61
 	KindServerLimits Kind = 62
 
+	KindStreamOrigin Kind = 72
+	KindStreamQuery  Kind = 73
+	KindStreamReply  Kind = 74
+
 	KindClaim      Kind = 64
 	KindClaimReply Kind = 65
 )
--- a/placement/exchange.go
+++ b/placement/exchange.go
@@ -54,6 +54,15 @@
 	Others []Peer
 }
 
+// OtherNames returns the names of the other live daemons.
+func (f Fleet) OtherNames() []string {
+	var names []string
+	for _, p := range f.Others {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
 // LoadExchange periodically reports the local daemon's load on each server to
 // the other daemons.
 type LoadExchange struct {
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -42,7 +42,9 @@
 	paused bool
 }
 
-func newHolders() *holders { return &holders{lastSeen: map[string]time.Time{}, ring: hashring.New(nil)} }
+func newHolders() *holders {
+	return &holders{lastSeen: map[string]time.Time{}, ring: hashring.New(nil)}
+}
 
 // update applies the current view.
 func (h *holders) update(v View, now time.Time) {
