Take up streams that callers don't name where only one version served

If the route leads to one service whose servers have had one version for four timeouts of the route, there is only one possibility, and the stream goes on.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -72,7 +72,8 @@
 	servers map[string]*Server
 	// expired holds the IDs of servers whose records disappeared in an outage of
 	// the store or within expiryGrace afterwards.
-	expired map[string]bool
+	expired  map[string]bool
+	versions versionHistory
 }
 
 // snapshot is the published, immutable state of a catalog.
@@ -83,7 +84,7 @@
 
 // NewCatalog returns an empty catalog.
 func NewCatalog(logger *log.Logger) *Catalog {
-	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}}
+	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}, versions: versionHistory{lastSeen: map[serviceVersion]time.Time{}}}
 	c.publish()
 	return c
 }
@@ -122,6 +123,7 @@
 func (c *Catalog) Apply(changes []Change, f Freshness) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.versions.begin(f.AsOf)
 	changed := false
 	for _, ch := range changes {
 		switch {
@@ -135,9 +137,19 @@
 	}
 	if changed {
 		c.publish()
+		c.versions.update(c.servers, f.AsOf)
 	}
 }
 
+// SoleVersion returns the version of the software of all servers that a service has had since
+// a time. It returns false if there were several, if the version isn't known, or if the
+// catalog doesn't reach back so far.
+func (c *Catalog) SoleVersion(service string, since time.Time) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.versions.sole(service, since)
+}
+
 // put stores a record and reports whether anything but its revision changed. In
 // a large deployment most records are heartbeats, which change nothing else and
 // must not cause a new snapshot.
@@ -208,6 +220,7 @@
 		c.drop(id, 0)
 	}
 	c.publish()
+	c.versions.update(c.servers, f.AsOf)
 }
 
 // publish replaces the snapshot that readers use. The caller must hold c.mu.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -132,7 +132,7 @@
 	registry := metrics.NewRegistry()
 	f := New(Config{
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
-		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Second },
+		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Millisecond },
 		Tracker:          placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
 		Limits: d.limits(), Streams: d.origins,
 		HeaderCodec: testHeaderCodec{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -12,6 +12,15 @@
 	"github.com/jacinththread/jacinththread/route"
 )
 
+const (
+	// soleVersionTimeouts is how many timeouts of its route ago a stream can have begun that
+	// a caller takes up without saying which one it is.
+	soleVersionTimeouts = 4
+	// maxCatalogAge is the age of the server catalog up to which it shows the versions that
+	// serve now.
+	maxCatalogAge = time.Second
+)
+
 // unknownOriginRetryAfter is the retry delay for callers whose stream can't be taken up now.
 const unknownOriginRetryAfter = 300 * time.Millisecond
 
@@ -35,7 +44,7 @@
 // findOrigin determines where the stream that the caller takes up began. If the stream can't
 // go on there, it refuses the request and returns false.
 func (q *request) findOrigin(ctx context.Context) bool {
-	origin, ok := q.cfg.Streams.Lookup(ctx, q.meta.Resumes)
+	origin, ok := q.lookupOrigin(ctx)
 	if !ok {
 		q.refuseTakeUp(errUnknownOrigin, origin)
 		return false
@@ -49,6 +58,29 @@
 	return true
 }
 
+// lookupOrigin returns where the stream began: as recorded under the ID that the caller names or,
+// for callers that name none, if there is only one possibility.
+func (q *request) lookupOrigin(ctx context.Context) (resume.Origin, bool) {
+	if q.meta.Resumes == "" {
+		return q.soleOrigin()
+	}
+	return q.cfg.Streams.Lookup(ctx, q.meta.Resumes)
+}
+
+// soleOrigin returns where every stream of the route that a caller can still take up began, if
+// there is only one possibility: the route leads to one service, which has had servers of one
+// version for long enough.
+func (q *request) soleOrigin() (resume.Origin, bool) {
+	_, age := q.cfg.CatalogFreshness()
+	if len(q.route.Shares) != 1 || q.route.Timeout <= 0 || age > maxCatalogAge {
+		return resume.Origin{}, false
+	}
+	service := q.route.Shares[0].Service
+	since := time.Now().Add(-soleVersionTimeouts * q.route.Timeout)
+	version, ok := q.cfg.Catalog.SoleVersion(service, since)
+	return resume.Origin{Service: service, Version: version}, ok
+}
+
 func (q *request) refuseTakeUp(err error, origin resume.Origin) {
 	q.cfg.Log.Info("stream not taken up", "request_id", q.meta.ID, "resumes", q.meta.Resumes, "after", q.meta.LastEvent,
 		"service", origin.Service, "version", origin.Version, "err", err)
