Tell other daemons at once what a daemon that doesn't watch reads from the store

A daemon that is no watcher and reads new records tells four random peers its revision; those that nothing else keeps up to date request the changes and tell on.

--- a/entry/expiry_test.go
+++ b/entry/expiry_test.go
@@ -29,10 +29,8 @@
 	testHeartbeat = 1200 * time.Millisecond
 	// linkDelay is the one-way delay between two daemons.
 	linkDelay = time.Millisecond
-	// maxRemovalDelay is the shortest drain time of the platform's deployments,
-	// maxLargeFleetDelay that of those in which only some daemons watch.
-	maxRemovalDelay    = 2 * time.Second
-	maxLargeFleetDelay = 3 * time.Second
+	// maxRemovalDelay is the shortest drain time of the platform's deployments.
+	maxRemovalDelay = 2 * time.Second
 	// returnDelay is the longest time in which live servers write their records
 	// again after an outage.
 	returnDelay = 2 * time.Second
@@ -153,9 +151,10 @@
 		who := func() mirror.Watchers {
 			return mirror.Watchers{Self: i < watchers, Others: without(names[:watchers])}
 		}
+		exchange := mirror.NewExchange(d.copy, net.Bus(name), func() []string { return without(names) }, who, logger, registry)
 		for _, service := range []kernel.Service{
-			mirror.NewExchange(d.copy, net.Bus(name), func() []string { return without(names) }, who, logger, registry),
-			mirror.NewFollower(d.copy, source, who, logger, registry),
+			exchange,
+			mirror.NewFollower(d.copy, source, who, exchange.Announce, logger, registry),
 			kernel.NewPeriodic(upkeepInterval, d.upkeep),
 		} {
 			assert.NilError(t, service.Start(t.Context()))
@@ -177,14 +176,11 @@
 // TestServerRemovedWhileTheStoreRefusesSomeDaemonsGetsNoRequests guards against sends to servers that left without a draining record.
 func TestServerRemovedWhileTheStoreRefusesSomeDaemonsGetsNoRequests(t *testing.T) {
 	const daemons, watchers = 20, 3
-	for name, c := range map[string]struct {
-		served func(i int) bool
-		within time.Duration
-	}{
-		"a watcher refused":    {func(i int) bool { return i != 0 && i != 7 }, maxRemovalDelay},
-		"all watchers refused": {func(i int) bool { return i >= watchers }, maxRemovalDelay},
-		"one watcher served":   {func(i int) bool { return i == 0 }, maxRemovalDelay},
-		"one daemon served":    {func(i int) bool { return i == daemons-1 }, maxLargeFleetDelay},
+	for name, served := range map[string]func(i int) bool{
+		"a watcher refused":    func(i int) bool { return i != 0 && i != 7 },
+		"all watchers refused": func(i int) bool { return i >= watchers },
+		"one watcher served":   func(i int) bool { return i == 0 },
+		"one daemon served":    func(i int) bool { return i == daemons-1 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -195,13 +191,13 @@
 				time.Sleep(3 * time.Second)
 				s.change(func() {
 					for i := range daemons {
-						s.refused[daemonName(i)] = !c.served(i)
+						s.refused[daemonName(i)] = !served(i)
 					}
 				})
 				const untilNoticed = 4 * time.Second
 				time.Sleep(untilNoticed)
 				s.change(func() { s.remove("left") })
-				time.Sleep(c.within)
+				time.Sleep(maxRemovalDelay)
 				for name, d := range fleet {
 					assert.Assert(t, is.DeepEqual(readyAt(d), []string{"stays"}), name)
 				}
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -84,6 +84,7 @@
 	tracer  trace.Tracer
 
 	copy       *mirror.Copy
+	exchange   *mirror.Exchange
 	records    *records
 	catalog    *backend.Catalog
 	pool       *upstream.Pool
@@ -140,7 +141,7 @@
 		{Name: exchangeName, Requires: []string{peerName, membershipName}, New: d.newExchange},
 		{Name: loadExchangeName, Requires: []string{peerName, membershipName}, New: d.newLoadExchange},
 		{Name: limitsName, Requires: []string{peerName, membershipName}, New: d.newLimitExchange},
-		{Name: followerName, Requires: []string{membershipName}, New: d.newFollower},
+		{Name: followerName, Requires: []string{membershipName, exchangeName}, New: d.newFollower},
 		{Name: registerName, New: d.newRegistration},
 		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
 		{Name: directoryName, Requires: []string{membershipName}, New: d.newDirectory},
@@ -198,7 +199,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return mirror.NewExchange(d.copy, node, d.peers, d.fleet.Watchers, d.log, d.metrics), nil
+	d.exchange = mirror.NewExchange(d.copy, node, d.peers, d.fleet.Watchers, d.log, d.metrics)
+	return d.exchange, nil
 }
 
 func (d *Daemon) newLoadExchange(r kernel.Registry) (kernel.Service, error) {
@@ -225,7 +227,7 @@
 }
 
 func (d *Daemon) newFollower(kernel.Registry) (kernel.Service, error) {
-	return mirror.NewFollower(d.copy, d.adapter.Source, d.fleet.Watchers, d.log, d.metrics), nil
+	return mirror.NewFollower(d.copy, d.adapter.Source, d.fleet.Watchers, d.exchange.Announce, d.log, d.metrics), nil
 }
 
 func (d *Daemon) newRegistration(kernel.Registry) (kernel.Service, error) {
--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// Announce tells exchangeFanout random peers the revision of the local copy. Those that are
+// behind and kept up to date by nothing else request the changes.
+func (x *Exchange) Announce() {
+	at := x.copy.Status().Revision
+	for _, name := range sample(x.peers(), exchangeFanout) {
+		x.send(name, &position{At: uint64(at)})
+	}
+}
+
 // sample returns up to n random names of a list.
 func sample(names []string, n int) []string {
 	names = slices.Clone(names)
@@ -135,10 +144,15 @@
 }
 
 // onPosition sends a peer the changes after its revision and the age of the local
-// copy.
+// copy. It requests the changes of a peer that is ahead if nothing else keeps
+// the copy up to date.
 func (x *Exchange) onPosition(from string, m peer.Message) {
 	after := store.Revision(m.(*position).At)
 	status := x.copy.Status()
+	if after > status.Revision && needsAnyPeer(status, x.watchers()) {
+		x.send(from, &position{At: uint64(status.Revision)})
+		return
+	}
 	if status.Revision == 0 {
 		return
 	}
@@ -178,14 +192,21 @@
 		return
 	}
 	x.taken.Inc(1)
-	if needsAnyPeer(status, x.watchers()) {
+	behind := needsAnyPeer(status, x.watchers())
+	if behind {
 		x.log.Info("records taken from a peer", "daemon", from, "revision", resp.At, "records", len(records), "complete", resp.Complete, "age_ms", resp.AgeMs)
 	}
-	if resp.Complete {
-		x.copy.Replace(records, at, confirmed)
-		return
+	if x.apply(resp.Complete, records, at, confirmed) && behind {
+		x.Announce()
+	}
+}
+
+// apply merges the records of a peer into the copy and reports whether records changed.
+func (x *Exchange) apply(complete bool, records []store.Entry, at store.Revision, confirmed Confirmation) (changed bool) {
+	if complete {
+		return x.copy.Replace(records, at, confirmed)
 	}
-	x.copy.Merge(records, at, confirmed)
+	return x.copy.Merge(records, at, confirmed)
 }
 
 func pack(records []store.Entry) ([]byte, error) {
--- a/mirror/exchange_test.go
+++ b/mirror/exchange_test.go
@@ -51,7 +51,7 @@
 			sources[name] = &fakeSource{}
 			others := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 			x := NewExchange(copies[name], bus, func() []string { return slices.Clone(others) }, everyoneWatches, quietLog(), metrics.NewRegistry())
-			f := NewFollower(copies[name], sources[name], everyoneWatches, quietLog(), metrics.NewRegistry())
+			f := NewFollower(copies[name], sources[name], everyoneWatches, x.Announce, quietLog(), metrics.NewRegistry())
 			for _, s := range []kernel.Service{x, f} {
 				defer func() { s.Stop(t.Context()) }()
 			}
@@ -115,7 +115,7 @@
 			x := NewExchange(copies[name], bus, func() []string {
 				return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 			}, who, quietLog(), metrics.NewRegistry())
-			f := NewFollower(copies[name], sources[name], who, quietLog(), metrics.NewRegistry())
+			f := NewFollower(copies[name], sources[name], who, x.Announce, quietLog(), metrics.NewRegistry())
 			start = append(start, x, f)
 		}
 		for _, s := range start {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -63,6 +63,8 @@
 	copy     *Copy
 	source   Source
 	watchers func() Watchers
+	// announce tells other daemons that the copy has new records.
+	announce func()
 	log      *log.Logger
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -70,10 +72,11 @@
 	lists, watches, failures metrics.Counter
 }
 
-// NewFollower returns a follower that has not started.
-func NewFollower(c *Copy, source Source, watchers func() Watchers, logger *log.Logger, registry metrics.Registry) *Follower {
+// NewFollower returns a follower that has not started. It calls announce when a daemon that is
+// no watcher, whose peers therefore don't ask it in particular, has read new records.
+func NewFollower(c *Copy, source Source, watchers func() Watchers, announce func(), logger *log.Logger, registry metrics.Registry) *Follower {
 	return &Follower{
-		copy: c, source: source, watchers: watchers, log: logger, done: make(chan struct{}),
+		copy: c, source: source, watchers: watchers, announce: announce, log: logger, done: make(chan struct{}),
 		lists:    metrics.GetOrRegisterCounter("mirror.lists", registry),
 		watches:  metrics.GetOrRegisterCounter("mirror.watches", registry),
 		failures: metrics.GetOrRegisterCounter("mirror.failures", registry),
@@ -150,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	f.copy.Replace(all, at, confirmedAt(asOf))
+	f.recordChange(f.copy.Replace(all, at, confirmedAt(asOf)))
 	return nil
 }
 
@@ -160,10 +163,17 @@
 	if err != nil {
 		return err
 	}
-	f.copy.Merge(changes, at, confirmedAt(time.Now()))
+	f.recordChange(f.copy.Merge(changes, at, confirmedAt(time.Now())))
 	return nil
 }
 
+// recordChange announces new records that the store has told a daemon that is no watcher.
+func (f *Follower) recordChange(changed bool) {
+	if changed && !f.watchers().Self {
+		f.announce()
+	}
+}
+
 func (f *Follower) recordFailure(err error, failed int) {
 	f.failures.Inc(1)
 	if failed >= unavailableAfter && f.copy.SetStoreUnavailable(true, time.Now()) {
--- a/mirror/follow_test.go
+++ b/mirror/follow_test.go
@@ -85,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		src := &fakeSource{}
 		c := NewCopy(func([]store.Entry, Status) {}, noRenewals)
-		f := NewFollower(c, src, everyoneWatches, quietLog(), metrics.NewRegistry())
+		f := NewFollower(c, src, everyoneWatches, func() {}, quietLog(), metrics.NewRegistry())
 		assert.NilError(t, f.Start(t.Context()))
 		src.change(func() { src.h.put("a", "1") })
 		time.Sleep(maxApplyDelay)
@@ -112,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		src := &fakeSource{}
 		c := NewCopy(func([]store.Entry, Status) {}, noRenewals)
-		f := NewFollower(c, src, everyoneWatches, quietLog(), metrics.NewRegistry())
+		f := NewFollower(c, src, everyoneWatches, func() {}, quietLog(), metrics.NewRegistry())
 		assert.NilError(t, f.Start(t.Context()))
 		const seconds, writesPerSecond, callsPerSecond = 20, 50, 4
 		for range seconds * writesPerSecond {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -143,15 +143,16 @@
 
 // Merge applies changes that make the copy complete up to revision at. It ignores
 // them if the copy is complete up to a later revision: peers do not send renewals,
-// so the revision of a renewed record may be too low here to reject an older change.
-func (c *Copy) Merge(changes []store.Entry, at store.Revision, confirmed Confirmation) {
+// so the revision of a renewed record may be too low here to reject an older change. It
+// reports whether records changed.
+func (c *Copy) Merge(changes []store.Entry, at store.Revision, confirmed Confirmation) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at < c.revision {
-		return
+		return false
 	}
 	c.advance(at, confirmed)
-	c.merge(changes, confirmed.AsOf)
+	return c.merge(changes, confirmed.AsOf)
 }
 
 // advance records the revision up to which the copy is complete and when that was
@@ -169,12 +170,12 @@
 
 // Replace applies a full list of the store's records at a revision. Known records
 // that are not listed are deleted unless they are newer. Like Merge, it ignores a
-// list that is older than the copy.
-func (c *Copy) Replace(all []store.Entry, at store.Revision, confirmed Confirmation) {
+// list that is older than the copy, and it reports whether records changed.
+func (c *Copy) Replace(all []store.Entry, at store.Revision, confirmed Confirmation) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at < c.revision {
-		return
+		return false
 	}
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
@@ -187,11 +188,12 @@
 		}
 	}
 	c.advance(at, confirmed)
-	c.merge(changes, confirmed.AsOf)
+	return c.merge(changes, confirmed.AsOf)
 }
 
-// merge applies the changes that are newer than the known records.
-func (c *Copy) merge(changes []store.Entry, now time.Time) {
+// merge applies the changes that are newer than the known records and reports whether there
+// were any.
+func (c *Copy) merge(changes []store.Entry, now time.Time) bool {
 	var applied []store.Entry
 	touched := map[string]bool{}
 	for _, e := range changes {
@@ -222,6 +224,7 @@
 	if len(applied) > 0 {
 		c.onChange(applied, c.status())
 	}
+	return len(applied) > 0
 }
 
 // dropOldTombstones removes tombstones that are older than tombstoneAge.
