Follow a store that came back from an older copy

The store may come back from a copy some seconds old and give revisions out again. The copies of the daemons rejected what was written then, as lower than what they had, and passed their own on: a revoked key was served and servers that drain got requests until the numbers had caught up.

A revision holds the store's era in its upper bits, so later eras are higher everywhere; a watch or a peer of another era leads to a list of all records. A record that was known to be deleted is withheld until it changes, an older record of a process is ignored by its sequence or start time, and records that are missing are kept as after an outage.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -47,6 +47,9 @@
 	// Started is the start time in Unix milliseconds by the server's own clock.
 	// It distinguishes successive processes that use the same ID.
 	Started int64
+	// Sequence increases with each record that the same process writes; zero if it isn't
+	// known.
+	Sequence int64
 	// Revision is the store revision at which the content of the record last
 	// changed.
 	Revision int64
@@ -155,6 +158,11 @@
 // must not cause a new snapshot.
 func (c *Catalog) put(s *Server) bool {
 	old := c.servers[s.ID]
+	if old != nil && s.olderThan(old) {
+		c.log.Info("older record of a backend server ignored", "server", s.ID, "sequence", s.Sequence, "known", old.Sequence,
+			"started", s.Started, "revision", s.Revision)
+		return false
+	}
 	delete(c.expired, s.ID)
 	if old != nil && old.sameAs(s) {
 		return false
@@ -176,13 +184,26 @@
 	return old != nil && !c.expired[s.ID] && old.sameAs(s)
 }
 
-// sameAs reports whether two records are equal except for the revision.
+// sameAs reports whether two records are equal except for the revision and the sequence.
 func (s *Server) sameAs(other *Server) bool {
 	a, b := *s, *other
 	a.Revision, b.Revision = 0, 0
+	a.Sequence, b.Sequence = 0, 0
 	return a == b
 }
 
+// olderThan reports whether a server wrote the record before another one of its ID. The store's
+// revisions don't tell after it came back from an older copy.
+func (s *Server) olderThan(other *Server) bool {
+	if s.Started == 0 || other.Started == 0 {
+		return false
+	}
+	if s.Started != other.Started {
+		return s.Started < other.Started
+	}
+	return s.Sequence != 0 && s.Sequence < other.Sequence
+}
+
 // remove handles a deleted record and reports whether the catalog changed. After an
 // outage of the store, a server that was not draining is kept for expiryGrace,
 // because its record may merely have expired.
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -126,3 +126,17 @@
 	assert.Equal(t, testing.AllocsPerRun(1, func() { c.Apply(beats, Freshness{}) }), 0.0)
 	assert.Equal(t, &c.Ready("s")[0], &before[0], "heartbeats replaced the snapshot")
 }
+
+// TestOlderRecordsOfAProcessAreIgnored guards against a draining server that becomes ready, or a
+// process that returns, when an older record of it is read again.
+func TestOlderRecordsOfAProcessAreIgnored(t *testing.T) {
+	c := newCatalog(Server{ID: "a", Service: "s", Started: 5, Sequence: 7, Draining: true})
+	put(c, Server{ID: "a", Service: "s", Started: 5, Sequence: 6})
+	assert.Equal(t, len(c.Ready("s")), 0, "an earlier record of the process")
+	put(c, Server{ID: "a", Service: "s", Started: 4, Sequence: 90})
+	assert.Equal(t, len(c.Ready("s")), 0, "an earlier process")
+	put(c, Server{ID: "a", Service: "s", Started: 5, Sequence: 8})
+	assert.Equal(t, len(c.Ready("s")), 1, "a later record")
+	put(c, Server{ID: "a", Service: "s", Started: 6, Sequence: 1, Draining: true})
+	assert.Equal(t, len(c.Ready("s")), 0, "a later process")
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -23,7 +23,8 @@
 	List(ctx context.Context) ([]store.Entry, store.Revision, error)
 	// Watch waits for changes after a revision and returns them with the
 	// revision up to which they are complete. It returns ErrCompacted if the
-	// changes after the given revision are no longer available.
+	// changes after the given revision are no longer available, which includes that the
+	// store came back from an older copy.
 	Watch(ctx context.Context, after store.Revision) ([]store.Entry, store.Revision, error)
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -60,13 +60,16 @@
 	// compactedRevision is the highest revision of a dropped tombstone. The
 	// changes after an earlier revision are incomplete.
 	compactedRevision store.Revision
-	revision          store.Revision
-	storeUnavailable  bool
-	storeStateSince   time.Time
-	updated           time.Time
-	outageEnd         time.Time
-	onChange          func([]store.Entry, Status)
-	isRenewal         func(store.Entry) bool
+	// withheld holds the revisions of records that had been deleted before the store came back
+	// from an older copy that still has them. They count as deleted until they change.
+	withheld         map[string]store.Revision
+	revision         store.Revision
+	storeUnavailable bool
+	storeStateSince  time.Time
+	updated          time.Time
+	outageEnd        time.Time
+	onChange         func([]store.Entry, Status)
+	isRenewal        func(store.Entry) bool
 }
 
 // record is a stored entry and the revision of its last change.
@@ -93,6 +96,7 @@
 	return &Copy{
 		records:          map[string]record{},
 		tombstones:       map[string]tombstone{},
+		withheld:         map[string]store.Revision{},
 		storeUnavailable: true,
 		onChange:         onChange,
 		isRenewal:        isRenewal,
@@ -148,18 +152,25 @@
 func (c *Copy) Merge(changes []store.Entry, at store.Revision, confirmed Confirmation) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at < c.revision {
+	if at < c.revision || c.restoredAt(at) {
 		return false
 	}
 	c.advance(at, confirmed)
 	return c.merge(changes, confirmed.AsOf)
 }
 
+// restoredAt reports whether the store came back from an older copy between the revision of the
+// copy and a later one. Changes alone then don't make the copy complete.
+func (c *Copy) restoredAt(at store.Revision) bool {
+	return c.revision != 0 && at.Era() > c.revision.Era()
+}
+
 // advance records the revision up to which the copy is complete and when that was
 // confirmed.
 func (c *Copy) advance(at store.Revision, confirmed Confirmation) {
+	outage := confirmed.Since.Sub(c.updated) > outageAge || c.restoredAt(at)
 	c.revision = max(c.revision, at)
-	if confirmed.Since.Sub(c.updated) > outageAge {
+	if outage {
 		c.outageEnd = confirmed.Since
 	}
 	if confirmed.AsOf.After(c.updated) {
@@ -170,13 +181,18 @@
 
 // Replace applies a full list of the store's records at a revision. Known records
 // that are not listed are deleted unless they are newer. Like Merge, it ignores a
-// list that is older than the copy, and it reports whether records changed.
+// list that is older than the copy, and it reports whether records changed. In the list of a
+// store that came back from an older copy, records that were known to be deleted are withheld until
+// they change: their writers may be gone.
 func (c *Copy) Replace(all []store.Entry, at store.Revision, confirmed Confirmation) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at < c.revision {
 		return false
 	}
+	if c.restoredAt(at) {
+		c.withholdDeleted(all, at)
+	}
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		listed[e.Key] = true
@@ -191,6 +207,20 @@
 	return c.merge(changes, confirmed.AsOf)
 }
 
+// withholdDeleted withholds the records that were known to be deleted and that the store, come
+// back from an older copy, may still have. A peer that withholds a record doesn't list it.
+func (c *Copy) withholdDeleted(all []store.Entry, at store.Revision) {
+	clear(c.withheld)
+	for key := range c.tombstones {
+		c.withheld[key] = at
+	}
+	for _, e := range all {
+		if _, deleted := c.tombstones[e.Key]; deleted {
+			c.withheld[e.Key] = e.Revision
+		}
+	}
+}
+
 // merge applies the changes that are newer than the known records and reports whether there
 // were any.
 func (c *Copy) merge(changes []store.Entry, now time.Time) bool {
@@ -198,9 +228,10 @@
 	touched := map[string]bool{}
 	for _, e := range changes {
 		old, known := c.records[e.Key]
-		if e.Revision <= max(old.Revision, c.tombstones[e.Key].revision) {
+		if e.Revision <= max(old.Revision, c.tombstones[e.Key].revision, c.withheld[e.Key]) {
 			continue
 		}
+		delete(c.withheld, e.Key)
 		// Changes applied in this batch have not been passed to the callback
 		// yet, so isRenewal cannot compare with them.
 		if known && !e.Deleted && !touched[e.Key] && c.isRenewal(e) {
@@ -238,12 +269,12 @@
 }
 
 // ChangesSince returns the changes after a revision and the revision up to which
-// they are complete. If after is zero or older than a dropped tombstone, it
-// returns all records instead and sets complete.
+// they are complete. If after is zero, older than a dropped tombstone or of another era of the
+// store, it returns all records instead and sets complete.
 func (c *Copy) ChangesSince(after store.Revision) (changes []store.Entry, at store.Revision, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	complete = after == 0 || after < c.compactedRevision
+	complete = after == 0 || after < c.compactedRevision || after.Era() != c.revision.Era()
 	for _, e := range c.records {
 		if complete || e.changedAt > after {
 			changes = append(changes, e.Entry)
--- a/store/store.go
+++ b/store/store.go
@@ -10,10 +10,6 @@
 	"errors"
 )
 
-// Revision is the version number of a change. It increases with every change to
-// any key of a store and is never reused.
-type Revision uint64
-
 // Entry is the value of a key at a revision.
 type Entry struct {
 	Key      string   `json:"key"`
