--- a/claims/backlog.go
+++ b/claims/backlog.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/gravitational/trace"
+
+	"github.com/jacinththread/jacinththread/internal/pause"
 )
 
 // maxBacklog limits the number of writes queued for the store. When it is
@@ -114,7 +116,7 @@
 			delay.Reset()
 			continue
 		}
-		if !sleep(ctx, delay.NextBackOff()) {
+		if !pause.For(ctx, delay.NextBackOff()) {
 			return
 		}
 	}
--- a/claims/begin.go
+++ b/claims/begin.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 
+	"github.com/jacinththread/jacinththread/internal/pause"
 	"github.com/jacinththread/jacinththread/store"
 )
 
@@ -100,7 +101,7 @@
 			return verdict
 		}
 		try++
-		if failed && (try == maxBeginTries || !sleep(ctx, delay.NextBackOff())) {
+		if failed && (try == maxBeginTries || !pause.For(ctx, delay.NextBackOff())) {
 			break
 		}
 	}
@@ -196,15 +197,3 @@
 	p.Multiplier = 2
 	return p
 }
-
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/claims/outcome.go
+++ b/claims/outcome.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/jacinththread/jacinththread/internal/pause"
 	"github.com/jacinththread/jacinththread/store"
 )
 
@@ -81,7 +82,7 @@
 		if err == nil || errors.Is(err, errSuperseded) {
 			return trace.Wrap(err)
 		}
-		if !sleep(ctx, delay.NextBackOff()) {
+		if !pause.For(ctx, delay.NextBackOff()) {
 			break
 		}
 	}
--- a/claims/sweep.go
+++ b/claims/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jacinththread/jacinththread/internal/pause"
 	"github.com/jacinththread/jacinththread/store"
 )
 
@@ -51,7 +52,7 @@
 // load on the store does not grow with the number of daemons.
 func (s *Service) runSweep(ctx context.Context) {
 	for shard := 0; ; shard = (shard + 1) % shardCount {
-		if !sleep(ctx, s.cfg.SweepInterval) {
+		if !pause.For(ctx, s.cfg.SweepInterval) {
 			return
 		}
 		prefix := shardPrefix(shard)
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/internal/pause"
 	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/upstream"
 )
@@ -58,7 +59,7 @@
 func (q *request) awaitPermit(ctx context.Context, servers []*backend.Server) bool {
 	wait, found := q.untilPermit(servers)
 	latest := q.in.Arrived.Add(time.Duration(permitWaitShare * float64(q.route.Target)))
-	if found && time.Now().Add(wait).Before(latest) && sleep(ctx, max(minPermitWait, wait)) {
+	if found && time.Now().Add(wait).Before(latest) && pause.For(ctx, max(minPermitWait, wait)) {
 		return true
 	}
 	q.refuseRateLimited(ctx, wait, found)
@@ -80,18 +81,6 @@
 	q.refuse(http.StatusServiceUnavailable, errRateLimited.Error(), retry)
 }
 
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // observeLimit records what the server stated about its rate limit. A response to a
 // request for another instance states nothing about the chosen server.
 func (q *request) observeLimit(server *backend.Server, resp *upstream.Response) {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/jacinththread/jacinththread/internal/pause"
 	"github.com/jacinththread/jacinththread/policy"
 	"github.com/jacinththread/jacinththread/store"
 )
@@ -109,7 +110,7 @@
 				failed = 0
 				f.recordAvailable()
 			}
-			sleep(ctx, watchPause)
+			pause.For(ctx, watchPause)
 			continue
 		}
 		var err error
@@ -129,12 +130,12 @@
 		if err != nil {
 			failed++
 			f.recordFailure(err, failed)
-			sleep(ctx, min(maxRetryPause, policy.Backoff(failed, rnd)))
+			pause.For(ctx, min(maxRetryPause, policy.Backoff(failed, rnd)))
 			continue
 		}
 		listed, failed = true, 0
 		f.recordAvailable()
-		sleep(ctx, watchPause)
+		pause.For(ctx, watchPause)
 	}
 }
 
@@ -196,12 +197,3 @@
 	}
 	f.log.Info("store available again", "revision", before.Revision, "lost_ms", lost.Milliseconds())
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
