--- a/entry/modules.go
+++ b/entry/modules.go
@@ -1,20 +1,11 @@
 package entry
 
 import (
-	"errors"
-	"math/rand/v2"
 	"net/http"
-	"slices"
-	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
-	"github.com/rcrowley/go-metrics"
-	"go.opentelemetry.io/otel/trace"
 
-	"github.com/jacinththread/jacinththread/backend"
-	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/forward"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/kernel"
@@ -24,9 +15,7 @@
 	"github.com/jacinththread/jacinththread/placement"
 	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/resume"
-	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/telemetry"
-	"github.com/jacinththread/jacinththread/upstream"
 )
 
 // Names under which the services are registered with the kernel.
@@ -71,68 +60,6 @@
 // to the peer port.
 var peerKey = []byte("jacinththread peers of a deployment")
 
-// Daemon is an entry daemon. It forwards callers' requests to backend servers
-// and shares its state with the other daemons of the deployment.
-type Daemon struct {
-	// settings are the settings at startup.
-	settings *Settings
-	// current holds the most recently loaded settings.
-	current atomic.Pointer[Settings]
-	adapter Adapter
-	log     *log.Logger
-	metrics metrics.Registry
-	tracer  trace.Tracer
-
-	copy       *mirror.Copy
-	exchange   *mirror.Exchange
-	records    *records
-	catalog    *backend.Catalog
-	pool       *upstream.Pool
-	tracker    *placement.Tracker
-	budget     *budget.Budget
-	rateLimits *ratelimit.Limiter
-	members    *membership.Service
-	fleet      fleet
-	callers    *ingress.Server
-	// resolve returns the peer address of a daemon. It is nil until the membership
-	// service exists, which itself needs the peer service.
-	resolve atomic.Pointer[func(string) (string, bool)]
-	leaving atomic.Bool
-	// registered is the number of daemons that have a record in the store.
-	registered atomic.Int64
-}
-
-// Instruments holds the logger, metrics registry and tracer of a daemon.
-type Instruments struct {
-	Log     *log.Logger
-	Metrics metrics.Registry
-	Tracer  trace.Tracer
-}
-
-// New returns a daemon that has not been started.
-func New(s *Settings, a Adapter, i Instruments) *Daemon {
-	d := &Daemon{settings: s, adapter: a, log: i.Log, metrics: i.Metrics, tracer: i.Tracer}
-	d.current.Store(s)
-	d.catalog = backend.NewCatalog(d.log)
-	d.records = &records{decoder: a.Decoder, catalog: d.catalog, onConfig: d.announceConfig, log: d.log}
-	d.copy = mirror.NewCopy(d.records.apply, d.records.isRenewal)
-	d.pool = upstream.NewPool(d.metrics)
-	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
-	d.budget = budget.New(s.Budget, d.daemonCount)
-	d.rateLimits = ratelimit.New(s.Peers, d.log, d.metrics)
-	d.fleet.self = placement.Peer{Name: s.Peers, Domain: s.Domain}
-	d.fleet.daemons = func() []membership.Daemon { return d.members.Daemons() }
-	return d
-}
-
-// daemonCount returns an upper estimate of the number of daemons in the
-// deployment: the largest of the numbers of members, registered daemons and seeds.
-// A daemon that can reach no other one is more likely partitioned than the only
-// one.
-func (d *Daemon) daemonCount() int {
-	return max(len(d.members.Daemons()), int(d.registered.Load()), len(d.settings.Seeds))
-}
-
 // Modules returns the kernel modules of the daemon.
 func (d *Daemon) Modules() []kernel.Module {
 	modules := []kernel.Module{
@@ -219,13 +146,6 @@
 	return ratelimit.NewExchange(d.rateLimits, node, d.fleet.OtherNames, d.log, d.metrics), nil
 }
 
-// peers returns the names of the other daemons that are alive or suspected and in
-// the local region.
-func (d *Daemon) peers() []string {
-	names := slices.Clone(d.members.Schedulers())
-	return slices.DeleteFunc(names, func(n string) bool { return n == d.settings.Peers })
-}
-
 func (d *Daemon) newFollower(kernel.Registry) (kernel.Service, error) {
 	return mirror.NewFollower(d.copy, d.adapter.Source, d.fleet.Watchers, d.exchange.Announce, d.log, d.metrics), nil
 }
@@ -249,31 +169,6 @@
 	return newListener(d.settings.Metrics, http.Handler(router), d.log), nil
 }
 
-var (
-	errLeaving  = errors.New("daemon is stopping")
-	errNoConfig = errors.New("no configuration is known")
-)
-
-// ready returns nil if the daemon can serve callers, otherwise the reason why it
-// cannot.
-func (d *Daemon) ready() error {
-	if d.leaving.Load() {
-		return errLeaving
-	}
-	if d.records.Table() == nil {
-		return errNoConfig
-	}
-	return nil
-}
-
-// announceConfig announces to the other daemons which configuration version is in
-// force here.
-func (d *Daemon) announceConfig(v route.Version) {
-	if d.members != nil {
-		d.members.SetBundleVersion(uint64(v))
-	}
-}
-
 func (d *Daemon) newCallers(r kernel.Registry) (kernel.Service, error) {
 	node, err := kernel.Get[*peer.Node](r, peerName)
 	if err != nil {
@@ -292,21 +187,3 @@
 	})
 	return d.callers, nil
 }
-
-// catalogFreshness returns the store revision up to which the local records are
-// complete and the time since they were last known to be current.
-func (d *Daemon) catalogFreshness() (revision int64, age time.Duration) {
-	status := d.copy.Status()
-	return int64(status.Revision), time.Since(status.Updated)
-}
-
-// limits returns the limits of the configuration in force, or the zero value,
-// which stands for the defaults, if there is none.
-func (d *Daemon) limits() ingress.Limits {
-	t := d.records.Table()
-	if t == nil {
-		return ingress.Limits{}
-	}
-	l := t.Limits()
-	return ingress.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
-}
--- /dev/null
+++ b/forward/choose.go
@@ -0,0 +1,95 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/placement"
+)
+
+var (
+	errNoServer   = errors.New("service has no server left to try")
+	errOverloaded = errors.New("servers have more work than the request can wait for")
+)
+
+// chooseServer chooses one of the ready servers that were not tried yet and whose rate
+// limits permit a request. If there is none, it ends the request and returns nil.
+func (q *request) chooseServer(ctx context.Context) *placement.InFlight {
+	q.cfg.Limits.AwaitComplete(ctx)
+	for {
+		untried := q.untriedServers()
+		permitted := q.permitted(untried)
+		if len(permitted) == 0 && len(untried) > 0 {
+			if !q.awaitPermit(ctx, untried) {
+				return nil
+			}
+			continue
+		}
+		inFlight, refusal := q.place(permitted)
+		if refusal != nil {
+			q.refuseOverloaded(ctx, refusal)
+			return nil
+		}
+		if inFlight == nil {
+			q.giveUp(ctx, attemptResult{runState: notRun, err: q.noServerError()})
+			return nil
+		}
+		now := time.Now()
+		if q.cfg.Limits.Take(inFlight.Server.Instance(), now) {
+			return inFlight
+		}
+		inFlight.End(now, placement.Abandoned) // Another request took the permit.
+	}
+}
+
+// untriedServers returns the ready servers that may serve the request and were not tried yet.
+func (q *request) untriedServers() []*backend.Server {
+	var untried []*backend.Server
+	ready := q.cfg.Catalog.Ready(q.service)
+	q.readyServers = len(ready)
+	for _, s := range ready {
+		if !q.tried[s.Instance()] && q.mayContinue(s) {
+			untried = append(untried, s)
+		}
+	}
+	return untried
+}
+
+// place chooses one of the given servers.
+func (q *request) place(servers []*backend.Server) (*placement.InFlight, *placement.Refusal) {
+	memory := 0
+	if s := q.table.Service(q.service); s != nil && s.Engine != nil {
+		memory = s.Engine.MemoryTokens
+	}
+	return q.cfg.Tracker.Place(time.Now(), servers, placement.Request{
+		Memory: memory, MaxWait: q.maxWait(), Urgency: q.urgency,
+		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
+		Gap:   q.route.GapTarget,
+		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.MinGapTarget(q.service),
+	})
+}
+
+// maxWait returns how long the request may queue at a server behind earlier
+// requests. A request that may already have run elsewhere, or takes up a stream, is
+// accepted whatever the queue.
+func (q *request) maxWait() time.Duration {
+	if q.attempts > 0 || q.origin != nil {
+		return 0
+	}
+	return placement.MaxWait(q.route.Target, q.priority)
+}
+
+// refuseOverloaded responds to a request whose queueing time would be too long
+// at the best server.
+func (q *request) refuseOverloaded(ctx context.Context, r *placement.Refusal) {
+	q.cfg.Log.Info("request refused, estimated wait exceeds the limit", "request_id", q.meta.ID, "service", q.service, "priority", q.priority,
+		"wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
+	if ctx.Err() != nil {
+		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
+		return
+	}
+	q.refuse(http.StatusServiceUnavailable, errOverloaded.Error(), r.RetryAfter)
+}
