--- a/mirror/exchange.go
+++ b/mirror/exchange.go
@@ -5,8 +5,6 @@
 	"compress/gzip"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -105,10 +103,10 @@
 	watchers := x.watchers()
 	var targets []string
 	if !watchers.Self {
-		targets = sample(watchers.Others, 1)
+		targets = peer.Sample(watchers.Others, 1)
 	}
 	if needsAnyPeer(status, watchers) {
-		targets = append(targets, sample(x.peers(), exchangeFanout)...)
+		targets = append(targets, peer.Sample(x.peers(), exchangeFanout)...)
 	}
 	for _, name := range targets {
 		x.send(name, &position{At: uint64(status.Revision)})
@@ -119,18 +117,11 @@
 // behind and kept up to date by nothing else request the changes.
 func (x *Exchange) Announce() {
 	at := x.copy.Status().Revision
-	for _, name := range sample(x.peers(), exchangeFanout) {
+	for _, name := range peer.Sample(x.peers(), exchangeFanout) {
 		x.send(name, &position{At: uint64(at)})
 	}
 }
 
-// sample returns up to n random names of a list.
-func sample(names []string, n int) []string {
-	names = slices.Clone(names)
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(n, len(names))]
-}
-
 // needsAnyPeer reports whether neither the store nor a watcher keeps the local copy
 // up to date. A call to the store may take longer than watcherLag to fail.
 func needsAnyPeer(status Status, watchers Watchers) bool {
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -158,9 +157,7 @@
 }
 
 func (x *Exchange) sendToRandom(n int, m peer.Message) {
-	others := slices.Clone(x.others())
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, name := range others[:min(n, len(others))] {
+	for _, name := range peer.Sample(x.others(), n) {
 		x.send(name, m)
 	}
 }
