--- a/forward/choose.go
+++ b/forward/choose.go
@@ -18,7 +18,6 @@
 // chooseServer chooses one of the ready servers that were not tried yet and whose rate
 // limits permit a request. If there is none, it ends the request and returns nil.
 func (q *request) chooseServer(ctx context.Context) *placement.InFlight {
-	q.cfg.Limits.AwaitComplete(ctx)
 	for {
 		untried := q.untriedServers()
 		permitted := q.permitted(untried)
