--- a/forward/origin.go
+++ b/forward/origin.go
@@ -104,6 +104,11 @@
 	return q.origin == nil || q.origin.Version != "" && s.Version == q.origin.Version
 }
 
+// canContinue reports whether another server could go on after what the caller already has.
+func (q *request) canContinue() bool {
+	return !q.w.Started() || q.stream.lastEventID() != ""
+}
+
 // noServerError returns why there is no server to try.
 func (q *request) noServerError() error {
 	if q.origin != nil {
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -194,3 +194,24 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, body)
 }
+
+// TestStreamWithoutEventIDsIsNotResumed guards against events that the caller gets twice: without
+// an ID of the last event a resume would begin anew.
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	unnumbered := func(d *deployment, c net.Conn, _ *bufio.Reader, req run) bool {
+		d.recordRun(req)
+		fmt.Fprintf(c, streamHead, req.id, req.server)
+		io.WriteString(c, chunk("data: one\n\n"))
+		io.WriteString(c, chunk("data: two\n\n"))
+		time.Sleep(10 * time.Millisecond)
+		return false
+	}
+	d := newDeployment(t, resumeRoute)
+	d.addServer("a", unnumbered)
+	d.addServer("b", unnumbered)
+	d.start()
+	got := d.send("POST", "/resume/", "r1")
+	assert.Assert(t, got.err != nil)
+	assert.Equal(t, got.body, "data: one\n\ndata: two\n\n")
+	assert.Equal(t, len(d.runsOf("r1")), 1)
+}
