--- a/forward/forward.go
+++ b/forward/forward.go
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errDeadline)
 	defer cancel()
 	// Until then, a daemon that has just started has no contact with the others.
-	q.cfg.Limits.AwaitComplete(ctx)
+	q.cfg.Limits.AwaitSync(ctx)
 	if q.takesUpStream() && !q.findOrigin(ctx) {
 		q.recordOutcome()
 		return
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -148,7 +148,7 @@
 // limits returns the rate limiter of a fleet of one daemon.
 func (d *deployment) limits() *ratelimit.Limiter {
 	l := ratelimit.New("self", d.log, metrics.NewRegistry())
-	l.MarkComplete()
+	l.MarkSynced()
 	l.SetView(ratelimit.View{Alive: []string{"self"}}, time.Now())
 	return l
 }
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -136,7 +136,7 @@
 	for range requestRounds {
 		x.sendToRandom(requestFanout, &limitsMessage{Request: true})
 		select {
-		case <-x.limiter.complete:
+		case <-x.limiter.synced:
 			return
 		case <-tick.C:
 		}
@@ -149,7 +149,7 @@
 	now := time.Now()
 	x.limiter.merge(msg.Limits, from, now)
 	if msg.Reply {
-		x.limiter.MarkComplete()
+		x.limiter.MarkSynced()
 	}
 	if msg.Request {
 		x.send(from, &limitsMessage{Limits: x.limiter.reportsAfter("", maxLimits, now), Reply: true})
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -124,10 +124,10 @@
 // serves reports whether the daemon doesn't make requests wait for the others' limits.
 func (n *node) serves() bool {
 	select {
-	case <-n.limiter.complete:
+	case <-n.limiter.synced:
 		return true
 	default:
-		return time.Since(n.changedAt) > maxCompleteWait
+		return time.Since(n.changedAt) > maxSyncWait
 	}
 }
 
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -11,8 +11,8 @@
 	"github.com/jacinththread/jacinththread/backend"
 )
 
-// maxCompleteWait is how long a daemon that starts waits for the limits that others know.
-const maxCompleteWait = 300 * time.Millisecond
+// maxSyncWait is how long a daemon that starts waits for the limits that others know.
+const maxSyncWait = 300 * time.Millisecond
 
 // Limiter decides whether the local daemon may send a request to a server now. It is safe
 // for concurrent use.
@@ -23,12 +23,12 @@
 	// epoch is the origin of the clock for slots, which ignores later changes of the wall
 	// clock.
 	epoch time.Time
-	// complete is closed when the limits known to other daemons have been received.
-	complete     chan struct{}
-	completeOnce sync.Once
+	// synced is closed when the limits known to other daemons have been received.
+	synced     chan struct{}
+	syncedOnce sync.Once
 
 	mu      sync.Mutex
-	holders *holders
+	owners  *owners
 	servers map[backend.Instance]*serverLimit
 }
 
@@ -47,30 +47,30 @@
 // servers before the first call of SetView.
 func New(self string, logger *log.Logger, registry metrics.Registry) *Limiter {
 	return &Limiter{
-		self: self, log: logger, epoch: time.Now(), holders: newHolders(), servers: map[backend.Instance]*serverLimit{},
-		complete: make(chan struct{}),
-		limited:  metrics.GetOrRegisterGauge("ratelimit.servers", registry),
+		self: self, log: logger, epoch: time.Now(), owners: newOwners(), servers: map[backend.Instance]*serverLimit{},
+		synced:  make(chan struct{}),
+		limited: metrics.GetOrRegisterGauge("ratelimit.servers", registry),
 	}
 }
 
-// MarkComplete records that the limits known to other daemons have been received, or that
+// MarkSynced records that the limits known to other daemons have been received, or that
 // there are no other daemons.
-func (l *Limiter) MarkComplete() { l.completeOnce.Do(func() { close(l.complete) }) }
+func (l *Limiter) MarkSynced() { l.syncedOnce.Do(func() { close(l.synced) }) }
 
-// AwaitComplete waits until the limits known to other daemons have been received, at most
-// maxCompleteWait after New.
-func (l *Limiter) AwaitComplete(ctx context.Context) {
+// AwaitSync waits until the limits known to other daemons have been received, at most
+// maxSyncWait after New.
+func (l *Limiter) AwaitSync(ctx context.Context) {
 	select {
-	case <-l.complete:
+	case <-l.synced:
 		return
 	default:
 	}
-	timer := time.NewTimer(time.Until(l.epoch.Add(maxCompleteWait)))
+	timer := time.NewTimer(time.Until(l.epoch.Add(maxSyncWait)))
 	defer timer.Stop()
 	select {
-	case <-l.complete:
+	case <-l.synced:
 	case <-timer.C:
-		l.MarkComplete()
+		l.MarkSynced()
 	case <-ctx.Done():
 	}
 }
@@ -79,11 +79,11 @@
 func (l *Limiter) SetView(v View, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wasPaused := l.holders.paused
-	l.holders.update(v, now)
-	if l.holders.paused != wasPaused {
-		l.log.Info("use of rate-limited servers paused or resumed", "paused", l.holders.paused,
-			"alive", len(v.Alive), "daemons", len(l.holders.names), "records_age_ms", v.RecordsAge.Milliseconds())
+	wasPaused := l.owners.paused
+	l.owners.update(v, now)
+	if l.owners.paused != wasPaused {
+		l.log.Info("use of rate-limited servers paused or resumed", "paused", l.owners.paused,
+			"alive", len(v.Alive), "daemons", len(l.owners.names), "records_age_ms", v.RecordsAge.Milliseconds())
 	}
 }
 
@@ -94,13 +94,13 @@
 	l.apply(server, s, l.self)
 }
 
-// apply records a statement and reports whether it changed the limit. The caller must hold
+// apply records a statement that the local daemon heard or another one told. The caller must hold
 // l.mu.
-func (l *Limiter) apply(server backend.Instance, s Statement, source string) bool {
+func (l *Limiter) apply(server backend.Instance, s Statement, source string) {
 	known := l.servers[server]
 	switch {
 	case known == nil && !s.Limited && source == l.self:
-		return false
+		return
 	case known == nil:
 		known = &serverLimit{}
 		l.servers[server] = known
@@ -108,9 +108,9 @@
 		if source == l.self {
 			known.statement.confirm(s)
 		}
-		return false
+		return
 	case !s.replaces(known.statement):
-		return false
+		return
 	}
 	known.statement = s
 	known.schedule = nil
@@ -120,7 +120,6 @@
 	known.roundsLeft = changeRounds
 	l.limited.Update(l.limitedCount())
 	l.log.Info("rate limit of a server changed", "server", server.ID, "limited", s.Limited, "per_second", s.PerSecond, "source", source)
-	return true
 }
 
 // limitedCount returns the number of servers with a limit. The caller must hold l.mu.
@@ -142,7 +141,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.current(server, now)
-	return s == nil || !l.holders.paused && len(s.permits) > 0
+	return s == nil || !l.owners.paused && len(s.permits) > 0
 }
 
 // Take is Permitted and uses the permit.
@@ -150,7 +149,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.current(server, now)
-	return s == nil || !l.holders.paused && s.take()
+	return s == nil || !l.owners.paused && s.take()
 }
 
 // NextPermit returns the time until the local daemon may send a request to a limited
@@ -162,13 +161,13 @@
 	if s == nil {
 		return 0, true
 	}
-	if l.holders.paused {
+	if l.owners.paused {
 		return 0, false
 	}
 	if len(s.permits) > 0 {
 		return 0, true
 	}
-	return s.nextPermit(l.clock(now), int64(horizon), l.holders.ring, l.self)
+	return s.nextPermit(l.clock(now), int64(horizon), l.owners.ring, l.self)
 }
 
 // current returns the up-to-date schedule of a server, or nil if it has no limit. The
@@ -178,7 +177,7 @@
 	if known == nil || known.schedule == nil {
 		return nil
 	}
-	known.schedule.advance(l.clock(now), l.holders.ring, l.self)
+	known.schedule.advance(l.clock(now), l.owners.ring, l.self)
 	return known.schedule
 }
 
--- a/ratelimit/holders.go
+++ b/ratelimit/owners.go
@@ -32,8 +32,8 @@
 	RecordsAge time.Duration
 }
 
-// holders determines which daemons own slots.
-type holders struct {
+// owners determines which daemons own slots.
+type owners struct {
 	lastSeen map[string]time.Time
 	// names is the sorted content of the ring.
 	names []string
@@ -42,27 +42,27 @@
 	paused bool
 }
 
-func newHolders() *holders {
-	return &holders{lastSeen: map[string]time.Time{}, ring: hashring.New(nil)}
+func newOwners() *owners {
+	return &owners{lastSeen: map[string]time.Time{}, ring: hashring.New(nil)}
 }
 
 // update applies the current view.
-func (h *holders) update(v View, now time.Time) {
+func (o *owners) update(v View, now time.Time) {
 	for _, names := range [][]string{v.Alive, v.Registered} {
 		for _, n := range names {
-			h.lastSeen[n] = now
+			o.lastSeen[n] = now
 		}
 	}
-	minority := 2*len(v.Alive) <= len(h.lastSeen)
-	h.paused = minority && v.RecordsAge > maxRecordsAge
+	minority := 2*len(v.Alive) <= len(o.lastSeen)
+	o.paused = minority && v.RecordsAge > maxRecordsAge
 	delay := reclaimDelay
 	if minority {
 		delay = minorityReclaimDelay
 	}
-	maps.DeleteFunc(h.lastSeen, func(_ string, seen time.Time) bool { return now.Sub(seen) > delay })
-	names := slices.Sorted(maps.Keys(h.lastSeen))
-	if slices.Equal(names, h.names) {
+	maps.DeleteFunc(o.lastSeen, func(_ string, seen time.Time) bool { return now.Sub(seen) > delay })
+	names := slices.Sorted(maps.Keys(o.lastSeen))
+	if slices.Equal(names, o.names) {
 		return
 	}
-	h.names, h.ring = names, hashring.New(names)
+	o.names, o.ring = names, hashring.New(names)
 }
