--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -195,8 +195,7 @@
 	assert.Equal(t, got.body, body)
 }
 
-// TestStreamWithoutEventIDsIsNotResumed guards against events that the caller gets twice: without
-// an ID of the last event a resume would begin anew.
+// It guards against a resume that begins anew, so that the caller gets events twice.
 func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
 	unnumbered := func(d *deployment, c net.Conn, _ *bufio.Reader, req run) bool {
 		d.recordRun(req)
