Check a limit from its first statement on for the daemons that were told

The fleet tests checked all daemons from three seconds after a limit was first stated. They now also check, from the first statement on, the requests of those that a response had told half a second before.

--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -27,6 +27,7 @@
 	boundFactor    = 1.5
 	boundAllowance = 5
 	settleTime     = 3 * time.Second
+	toldTime       = 500 * time.Millisecond
 	minUsedShare   = 0.75
 )
 
@@ -61,7 +62,9 @@
 	backend.Instance
 	limit    float64
 	arrivals []time.Time
-	running  int
+	// toldArrivals are those from daemons that a response had told a limit for toldTime.
+	toldArrivals []time.Time
+	running      int
 }
 
 // node is a daemon of a simulated fleet.
@@ -77,6 +80,8 @@
 	cutAt time.Time
 	// others are the names of the other daemons that it counts as alive.
 	others []string
+	// toldAt is when a response of a server first told it a limit.
+	toldAt map[*server]time.Time
 }
 
 // simFleet is a fleet of daemons that send requests to servers in virtual time.
@@ -115,6 +120,7 @@
 // start starts a daemon, or starts it again without what it knew.
 func (f *simFleet) start(n *node) {
 	n.up, n.changedAt = true, time.Now()
+	n.toldAt = map[*server]time.Time{}
 	n.limiter = New(n.name, log.New(io.Discard), metrics.NewRegistry())
 	n.exchange = NewExchange(n.limiter, f.net.Bus(n.name), func() []string { return f.othersOf(n) }, log.New(io.Discard), metrics.NewRegistry())
 	f.setView(n, f.viewOf(n))
@@ -253,11 +259,14 @@
 	best.running++
 	limiter, sentAt := n.limiter, time.Now()
 	limit := 0.0
-	f.after(time.Duration(f.rnd.Int64N(int64(maxLatency))), func() { best.arrivals = append(best.arrivals, time.Now()) })
+	f.after(time.Duration(f.rnd.Int64N(int64(maxLatency))), func() { best.arrive(n.toldAt) })
 	wait := maxLatency + time.Duration(f.rnd.Int64N(int64(maxServiceTime)))
 	f.after(wait/2, func() { limit = best.limit })
 	f.after(wait, func() {
 		best.running--
+		if _, told := n.toldAt[best]; limit > 0 && !told {
+			n.toldAt[best] = time.Now()
+		}
 		limiter.Observe(best.Instance, Statement{Limited: limit > 0, PerSecond: limit, SentAt: sentAt, HeardAt: time.Now()})
 	})
 }
@@ -279,6 +288,15 @@
 
 func tickOf(t time.Time) int64 { return t.UnixNano() / int64(tick) }
 
+// arrive records the arrival of a request from a daemon that was told limits at the given times.
+func (s *server) arrive(toldAt map[*server]time.Time) {
+	now := time.Now()
+	s.arrivals = append(s.arrivals, now)
+	if told, ok := toldAt[s]; ok && now.Sub(told) >= toldTime {
+		s.toldArrivals = append(s.toldArrivals, now)
+	}
+}
+
 // arrivalsSince returns the arrivals at a server since t.
 func (s *server) arrivalsSince(t time.Time) []time.Time {
 	i, _ := slices.BinarySearchFunc(s.arrivals, t, time.Time.Compare)
@@ -300,6 +318,15 @@
 	}
 }
 
+// checkTold checks the bound from the first statement on, for the daemons that were told.
+func (f *simFleet) checkTold(s *server, limit float64) {
+	f.t.Helper()
+	most := maxInWindow(s.toldArrivals, boundWindow)
+	allowed := boundFactor*limit*boundWindow.Seconds() + boundAllowance
+	assert.Check(f.t, float64(most) <= allowed, "from the first statement on: %d requests in %v, allowed %.1f", most, boundWindow, allowed)
+	assert.Check(f.t, most > 0, "no daemon was told")
+}
+
 // maxInWindow returns the largest number of times in any window of the given length.
 func maxInWindow(times []time.Time, window time.Duration) int {
 	most, first := 0, 0
@@ -350,6 +377,7 @@
 		f.run(40 * time.Second)
 		for i, s := range limited {
 			f.check(s, named, limits[i], true, "steady")
+			f.checkTold(s, limits[i])
 		}
 	})
 }
@@ -402,6 +430,7 @@
 		}
 		for i, s := range limited {
 			f.check(s, named, limits[i], false, "joins and kills")
+			f.checkTold(s, limits[i])
 		}
 		after := time.Now()
 		f.run(20 * time.Second)
@@ -437,6 +466,7 @@
 		}
 		for i, s := range limited {
 			f.check(s, named, limits[i], false, "cuts")
+			f.checkTold(s, limits[i])
 		}
 	})
 }
