Forget withheld records with the deletions that they stand for

After a restore of the store, keys of records that had been deleted before were remembered until the next change or restore, so a key of a server that never returns was kept for ever. TestWithheldRecordsAreForgotten failed before (1 key kept) and passes.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -263,6 +263,7 @@
 	for key, t := range c.tombstones {
 		if now.Sub(t.when) > tombstoneAge {
 			delete(c.tombstones, key)
+			delete(c.withheld, key)
 			c.compactedRevision = max(c.compactedRevision, t.revision)
 		}
 	}
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -75,3 +75,12 @@
 	behind.Replace(list, store.NewRevision(1, 4), confirmedAt(now))
 	assert.DeepEqual(t, keysOf(behind), want)
 }
+
+// A withheld key is kept no longer than the deletion that it stands for.
+func TestWithheldRecordsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c, _ := restoredCopy(t, now)
+	assert.Equal(t, len(c.withheld), 1)
+	c.Merge(nil, store.NewRevision(1, 9), confirmedAt(now.Add(tombstoneAge+2*time.Second)))
+	assert.Equal(t, len(c.withheld), 0)
+}
