Trace the request that was cut during a planned stop

Cause: a stopping daemon serves the accept backlog and then closes the port. A connection that the kernel completes between the last accept and the close is reset. The port begins to close 2.000 s after the stop (the entry's lifetime and a second), 1 ms before the request.

--- a/daemon/listener_test.go
+++ b/daemon/listener_test.go
@@ -4,10 +4,15 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/internal/proctest"
 )
 
 // Connections in the accept backlog when the listener is drained are served,
@@ -51,3 +56,31 @@
 	_, _, err = serve(&http.Server{}, ln.Addr().String(), log.New(io.Discard))
 	assert.ErrorContains(t, err, "address already in use")
 }
+
+// It guards against connections that are reset because they are made while the port closes.
+func TestDrainResetsNoConnectionMadeWhileThePortCloses(t *testing.T) {
+	const rounds, callers = 150, 8
+	lost := atomic.Int32{}
+	for range rounds {
+		ln, err := listen("127.0.0.1:0")
+		assert.NilError(t, err)
+		conns := newConnTracker()
+		server := &http.Server{ConnState: conns.onStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "served")
+		})}
+		served := make(chan struct{})
+		c := &callerServer{server: server, listener: ln, conns: conns, served: served}
+		go func() {
+			defer close(served)
+			_ = server.Serve(ln)
+		}()
+		var all sync.WaitGroup
+		for range callers {
+			all.Go(func() { lost.Add(int32(proctest.CallUntilRefused(ln.Addr().String()))) })
+		}
+		time.Sleep(3 * time.Millisecond)
+		assert.NilError(t, c.drain(t.Context()))
+		all.Wait()
+	}
+	assert.Equal(t, lost.Load(), int32(0), "connections without a response in %d stops", rounds)
+}
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jacinththread/jacinththread/internal/proctest"
 )
 
 // TestRequestDuringStopIsAnsweredOrNotHandled guards against a request that is
@@ -132,3 +135,22 @@
 	assert.Assert(t, !c.awaitRequest(Limits{IdleTimeout: 10 * time.Second}))
 	assert.Assert(t, time.Since(begun) < time.Second)
 }
+
+// It guards against connections that are reset because they are made while the port closes.
+func TestNoConnectionMadeWhileThePortClosesIsReset(t *testing.T) {
+	const rounds, callers = 150, 8
+	var lost atomic.Int32
+	for range rounds {
+		s := start(t, echo)
+		var all sync.WaitGroup
+		for range callers {
+			all.Go(func() { lost.Add(int32(proctest.CallUntilRefused(s.Addr()))) })
+		}
+		time.Sleep(3 * time.Millisecond)
+		s.CloseAfterResponses()
+		s.StopAccepting()
+		all.Wait()
+		assert.NilError(t, s.Stop(t.Context()))
+	}
+	assert.Equal(t, lost.Load(), int32(0), "connections without a response in %d stops", rounds)
+}
