--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -162,7 +162,7 @@
 // restoredAt reports whether the store came back from an older copy between the revision of the
 // copy and a later one. Changes alone then don't make the copy complete.
 func (c *Copy) restoredAt(at store.Revision) bool {
-	return c.revision != 0 && at.Era() > c.revision.Era()
+	return c.revision != 0 && at.Epoch() > c.revision.Epoch()
 }
 
 // advance records the revision up to which the copy is complete and when that was
@@ -270,12 +270,12 @@
 }
 
 // ChangesSince returns the changes after a revision and the revision up to which
-// they are complete. If after is zero, older than a dropped tombstone or of another era of the
+// they are complete. If after is zero, older than a dropped tombstone or of another epoch of the
 // store, it returns all records instead and sets complete.
 func (c *Copy) ChangesSince(after store.Revision) (changes []store.Entry, at store.Revision, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	complete = after == 0 || after < c.compactedRevision || after.Era() != c.revision.Era()
+	complete = after == 0 || after < c.compactedRevision || after.Epoch() != c.revision.Epoch()
 	for _, e := range c.records {
 		if complete || e.changedAt > after {
 			changes = append(changes, e.Entry)
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -18,11 +18,11 @@
 	return out
 }
 
-func put(key, value string, era, number uint64) store.Entry {
-	return store.Entry{Key: key, Value: []byte(value), Revision: store.NewRevision(era, number)}
+func put(key, value string, epoch, number uint64) store.Entry {
+	return store.Entry{Key: key, Value: []byte(value), Revision: store.NewRevision(epoch, number)}
 }
 
-// restoredCopy returns a copy of a store that went to revision 9 of era 0 and came back from a
+// restoredCopy returns a copy of a store that went to revision 9 of epoch 0 and came back from a
 // copy at revision 4, and the copy of a daemon that has not noticed yet.
 func restoredCopy(t *testing.T, now time.Time) (restored, behind *Copy) {
 	newCopy := func() *Copy {
@@ -39,7 +39,7 @@
 	return restored, behind
 }
 
-// TestCopyFollowsAStoreThatCameBack checks that lower revision numbers of a later era are
+// TestCopyFollowsAStoreThatCameBack checks that lower revision numbers of a later epoch are
 // applied, and that a deleted record stays deleted until it is written again.
 func TestCopyFollowsAStoreThatCameBack(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -53,9 +53,9 @@
 	assert.DeepEqual(t, keysOf(c), map[string]string{"kept": "old", "changed": "new", "deleted": "y"})
 }
 
-// TestPeersFollowTheLaterEra checks that daemons of two eras end with the records of the later one,
+// TestPeersFollowTheLaterEpoch checks that daemons of two epochs end with the records of the later one,
 // whichever tells the other first.
-func TestPeersFollowTheLaterEra(t *testing.T) {
+func TestPeersFollowTheLaterEpoch(t *testing.T) {
 	now := time.Unix(1000, 0)
 	restored, behind := restoredCopy(t, now)
 	want := keysOf(restored)
@@ -64,7 +64,7 @@
 	restored.Replace(changes, at, confirmedAt(now))
 	assert.DeepEqual(t, keysOf(restored), want)
 	changes, at, complete = restored.ChangesSince(behind.Status().Revision)
-	assert.Assert(t, complete, "changes alone don't lead from one era to another")
+	assert.Assert(t, complete, "changes alone don't lead from one epoch to another")
 	assert.Assert(t, !behind.Merge(changes, at, confirmedAt(now)))
 	assert.Assert(t, behind.Replace(changes, at, confirmedAt(now)))
 	assert.DeepEqual(t, keysOf(behind), want)
