--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/internal/ratetest"
 	"github.com/jacinththread/jacinththread/peer/peertest"
 )
 
@@ -308,7 +309,7 @@
 func (f *simFleet) check(s *server, since time.Time, limit float64, use bool, what string) {
 	f.t.Helper()
 	arrivals := s.arrivalsSince(since.Add(settleTime))
-	most := maxInWindow(arrivals, boundWindow)
+	most := ratetest.MaxInWindow(arrivals, boundWindow)
 	allowed := boundFactor*limit*boundWindow.Seconds() + boundAllowance
 	assert.Check(f.t, float64(most) <= allowed, "%s: %d requests in %v, allowed %.1f", what, most, boundWindow, allowed)
 	length := time.Since(since.Add(settleTime)).Seconds()
@@ -318,27 +319,22 @@
 	}
 }
 
+// checkMean checks that all daemons together keep the limit itself since t.
+func (f *simFleet) checkMean(s *server, since time.Time, limit float64) {
+	f.t.Helper()
+	got, length := float64(len(s.arrivalsSince(since))), time.Since(since).Seconds()
+	assert.Check(f.t, got <= limit*length+boundAllowance, "%.0f requests in %.0f s at a limit of %.1f a second", got, length, limit)
+}
+
 // checkTold checks the bound from the first statement on, for the daemons that were told.
 func (f *simFleet) checkTold(s *server, limit float64) {
 	f.t.Helper()
-	most := maxInWindow(s.toldArrivals, boundWindow)
+	most := ratetest.MaxInWindow(s.toldArrivals, boundWindow)
 	allowed := boundFactor*limit*boundWindow.Seconds() + boundAllowance
 	assert.Check(f.t, float64(most) <= allowed, "from the first statement on: %d requests in %v, allowed %.1f", most, boundWindow, allowed)
 	assert.Check(f.t, most > 0, "no daemon was told")
 }
 
-// maxInWindow returns the largest number of times in any window of the given length.
-func maxInWindow(times []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // limits are the limits to test, in requests per second.
 var limits = []float64{1, 1.3, 4, 30}
 
@@ -460,7 +456,12 @@
 		for _, share := range []float64{0.15, 0.3, 0.5} {
 			cut := f.nodes[:max(1, int(share*float64(len(f.nodes))))]
 			f.cut(cut)
-			f.run(30 * time.Second)
+			f.run(leaseTime + reclaimDelay + time.Second)
+			reclaimed := time.Now()
+			f.run(10 * time.Second)
+			for i, s := range limited {
+				f.checkMean(s, reclaimed, limits[i])
+			}
 			f.heal(cut)
 			f.run(10 * time.Second)
 		}
@@ -471,6 +472,21 @@
 	})
 }
 
+// The larger part of the fleet loses the smaller one and the store.
+func TestFleetKeepsTheLimitWhileTheLargerPartLosesTheStore(t *testing.T) {
+	forEachFleet(t, func(f *simFleet, limited []*server, named time.Time) {
+		f.run(5 * time.Second)
+		f.cut(f.nodes[:8*len(f.nodes)/10])
+		f.run(leaseTime + reclaimDelay + time.Second)
+		reclaimed := time.Now()
+		f.run(10 * time.Second)
+		for i, s := range limited {
+			f.check(s, named, limits[i], false, "larger part without the store")
+			f.checkMean(s, reclaimed, limits[i])
+		}
+	})
+}
+
 // heal ends a cut.
 func (f *simFleet) heal(nodes []*node) {
 	for _, n := range nodes {
