Say resume instead of take up, and check streams on both sides of a cut

'Take up' is the users' wording; code and logs say resume. The log line is 'stream not resumed'. No behaviour changes.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -72,7 +72,7 @@
 }
 
 // maxWait returns how long the request may queue at a server behind earlier
-// requests. A request that may already have run elsewhere, or takes up a stream, is
+// requests. A request that may already have run elsewhere, or resumes a stream, is
 // accepted whatever the queue.
 func (q *request) maxWait() time.Duration {
 	if q.attempts > 0 || q.origin != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -159,7 +159,7 @@
 	defer cancel()
 	// Until then, a daemon that has just started has no contact with the others.
 	q.cfg.Limits.AwaitSync(ctx)
-	if q.takesUpStream() && !q.findOrigin(ctx) {
+	if q.resumesStream() && !q.findOrigin(ctx) {
 		q.recordOutcome()
 		return
 	}
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -14,14 +14,14 @@
 
 const (
 	// soleVersionTimeouts is how many timeouts of its route ago a stream can have begun that
-	// a caller takes up without saying which one it is.
+	// a caller resumes without saying which one it is.
 	soleVersionTimeouts = 4
 	// maxCatalogAge is the age of the server catalog up to which it shows the versions that
 	// serve now.
 	maxCatalogAge = time.Second
 )
 
-// unknownOriginRetryAfter is the retry delay for callers whose stream can't be taken up now.
+// unknownOriginRetryAfter is the retry delay for callers whose stream cannot be resumed now.
 const unknownOriginRetryAfter = 300 * time.Millisecond
 
 var (
@@ -36,22 +36,22 @@
 	Lookup(ctx context.Context, stream string) (resume.Origin, bool)
 }
 
-// takesUpStream reports whether the caller takes up a stream of which it already has events.
-func (q *request) takesUpStream() bool {
+// resumesStream reports whether the caller resumes a stream of which it already has events.
+func (q *request) resumesStream() bool {
 	return q.route.Kind == route.Streaming && q.route.Resumable && q.meta.LastEvent != ""
 }
 
-// findOrigin determines where the stream that the caller takes up began. If the stream can't
-// go on there, it refuses the request and returns false.
+// findOrigin determines where the stream that the caller resumes began. If the stream can't
+// continue there, it refuses the request and returns false.
 func (q *request) findOrigin(ctx context.Context) bool {
 	origin, ok := q.lookupOrigin(ctx)
 	if !ok {
-		q.refuseTakeUp(errUnknownOrigin, origin)
+		q.refuseResume(errUnknownOrigin, origin)
 		return false
 	}
 	leads := func(s route.Share) bool { return s.Service == origin.Service }
 	if !slices.ContainsFunc(q.route.Shares, leads) {
-		q.refuseTakeUp(errServiceLeft, origin)
+		q.refuseResume(errServiceLeft, origin)
 		return false
 	}
 	q.service, q.origin = origin.Service, &origin
@@ -67,7 +67,7 @@
 	return q.cfg.Streams.Lookup(ctx, q.meta.Resumes)
 }
 
-// soleOrigin returns where every stream of the route that a caller can still take up began, if
+// soleOrigin returns where every stream of the route that a caller can still resume began, if
 // there is only one possibility: the route leads to one service, which has had servers of one
 // version for long enough.
 func (q *request) soleOrigin() (resume.Origin, bool) {
@@ -81,8 +81,8 @@
 	return resume.Origin{Service: service, Version: version}, ok
 }
 
-func (q *request) refuseTakeUp(err error, origin resume.Origin) {
-	q.cfg.Log.Info("stream not taken up", "request_id", q.meta.ID, "resumes", q.meta.Resumes, "after", q.meta.LastEvent,
+func (q *request) refuseResume(err error, origin resume.Origin) {
+	q.cfg.Log.Info("stream not resumed", "request_id", q.meta.ID, "resumes", q.meta.Resumes, "after", q.meta.LastEvent,
 		"service", origin.Service, "version", origin.Version, "err", err)
 	q.refuse(http.StatusServiceUnavailable, err.Error(), unknownOriginRetryAfter)
 }
@@ -104,7 +104,7 @@
 	return q.origin == nil || q.origin.Version != "" && s.Version == q.origin.Version
 }
 
-// canContinue reports whether another server could go on after what the caller already has.
+// canContinue reports whether another server could continue after what the caller already has.
 func (q *request) canContinue() bool {
 	return !q.w.Started() || q.stream.lastEventID() != ""
 }
--- a/resume/fleet_test.go
+++ b/resume/fleet_test.go
@@ -17,7 +17,7 @@
 )
 
 // minKnownShare is the share of the streams that must be known after a failure, so that they
-// can go on at least half as often as new ones begin.
+// can continue at least half as often as new ones begin.
 const minKnownShare = 0.5
 
 // testFleet is a fleet of directories in virtual time.
@@ -169,6 +169,29 @@
 	})
 }
 
+// TestStreamsAreKnownOnBothSidesOfACut checks that the larger part of a fleet knows enough streams
+// after a cut, and that neither part takes a stream for one of another version.
+func TestStreamsAreKnownOnBothSidesOfACut(t *testing.T) {
+	forEachSize(t, func(f *testFleet) {
+		f.begin(testStreams)
+		size := 3 * len(f.nodes) / 10
+		smaller, larger := f.nodes[:size], f.nodes[size:]
+		for _, a := range smaller {
+			for _, b := range larger {
+				f.net.Cut(a.name, b.name)
+				f.net.Cut(b.name, a.name)
+			}
+		}
+		before := f.check(larger)
+		f.check(smaller)
+		f.setViews(smaller)
+		f.setViews(larger)
+		after := f.check(larger)
+		f.t.Logf("known in the larger part: %.2f before the cut is noticed, %.2f after, %.2f in the smaller", before, after, f.check(smaller))
+		assert.Assert(f.t, before >= minKnownShare && after >= minKnownShare)
+	})
+}
+
 // TestMessagesOfAStreamDoNotGrowWithTheFleet checks the cost of a stream and of taking it up.
 func TestMessagesOfAStreamDoNotGrowWithTheFleet(t *testing.T) {
 	forEachSize(t, func(f *testFleet) {
--- a/resume/origins.go
+++ b/resume/origins.go
@@ -1,9 +1,9 @@
 // Package resume remembers which software version of a service began a stream, so that the
-// stream goes on only at that version, also at another daemon and after the daemon that began
+// stream continues only at that version, also at another daemon and after the daemon that began
 // it is gone.
 //
 // The daemon that relays a stream's first event sends the version to a few daemons, chosen by
-// consistent hashing of the stream's ID. A daemon that a caller asks to take the stream up asks
+// consistent hashing of the stream's ID. A daemon that a caller asks to resume the stream asks
 // these daemons. What none of them knows is unknown; it is never guessed.
 package resume
 
@@ -27,7 +27,7 @@
 	Version string
 }
 
-// known reports whether the origin says enough to go on with the stream.
+// known reports whether the origin says enough to continue the stream.
 func (o Origin) known() bool { return o.Service != "" && o.Version != "" }
 
 // origins is a bounded memory of the origins of streams. It is safe for concurrent use.
