Log which attempts ended with their server, and what their requests have

A daemon whose exchange was closed or reset by the server now dials the server once: a refused connection means that the process has ended. The line "server ended during an attempt" has the customer, the path, the hashes of the body and of the prompt's parts, and the number of events that came. forward.server_ends and upstream.end_checks count both.

Routing hasn't changed.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -109,6 +109,7 @@
 	}
 	q.sends++
 	q.sentAt = time.Now()
+	q.attemptEvents = 0
 	resp, err := q.cfg.Pool.Do(ctx, conn, q.outgoing(ctx, inFlight.Server, remaining), q.responseTimeout())
 	if err != nil {
 		return q.endFailedAttempt(ctx, inFlight, err)
@@ -149,6 +150,7 @@
 	res := attemptResult{runState: runStateOf(err), err: err}
 	if res.runState == mayRun {
 		q.attempts++
+		q.observeBreak(ctx, inFlight.Server, err)
 	}
 	inFlight.End(time.Now(), q.placementResult(ctx, err))
 	q.cfg.Log.Info("attempt failed", "request_id", q.meta.ID, "server", inFlight.Server.ID,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,6 +118,8 @@
 	outcomeCounters map[outcome]metrics.Counter
 	latency         metrics.Histogram
 	firstByte       metrics.Histogram
+	// serverEnds counts the attempts during which the server ended.
+	serverEnds metrics.Counter
 }
 
 // latencySamples and latencyAlpha configure the exponentially decaying samples
@@ -134,6 +136,7 @@
 		outcomeCounters: map[outcome]metrics.Counter{},
 		latency:         metrics.GetOrRegisterHistogram("forward.latency_ms", cfg.Metrics, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
 		firstByte:       metrics.GetOrRegisterHistogram("forward.first_ms", cfg.Metrics, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
+		serverEnds:      metrics.GetOrRegisterCounter("forward.server_ends", cfg.Metrics),
 	}
 	for _, o := range outcomes {
 		f.outcomeCounters[o] = metrics.GetOrRegisterCounter("forward.requests."+string(o), cfg.Metrics)
@@ -198,6 +201,8 @@
 	status     int
 	reason     string
 	stream     *eventSplitter
+	// attemptEvents is the number of events relayed in the current attempt.
+	attemptEvents int
 	// origin is where the stream began of which the caller has events, or nil if it has
 	// none.
 	origin *resume.Origin
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -81,6 +81,7 @@
 	} else if isTimeout(err) {
 		result = placement.Unreachable
 	}
+	q.observeBreak(ctx, res.inFlight.Server, err)
 	res.inFlight.End(time.Now(), result)
 	q.cfg.Log.Info("answer discarded", "request_id", q.meta.ID, "server", res.inFlight.Server.ID,
 		"version", res.inFlight.Server.Version, "relayed", q.w.Started(), "err", err)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -29,6 +29,9 @@
 	errEventSize  = errors.New("event is too long")
 )
 
+// eventEnd is the empty line that ends an event.
+var eventEnd = []byte("\n\n")
+
 // eventSplitter splits a stream of server-sent events at event boundaries and
 // tracks the ID of the last event.
 type eventSplitter struct {
@@ -52,14 +55,14 @@
 // bytes. They stay pending until discard.
 func (e *eventSplitter) push(p []byte) ([]byte, error) {
 	e.pending = append(e.pending, p...)
-	end := bytes.LastIndex(e.pending, []byte("\n\n"))
+	end := bytes.LastIndex(e.pending, eventEnd)
 	if end < 0 {
 		if len(e.pending) > maxEventBytes {
 			return nil, errEventSize
 		}
 		return nil, nil
 	}
-	complete := e.pending[:end+2]
+	complete := e.pending[:end+len(eventEnd)]
 	if err := e.checkIDs(complete); err != nil {
 		return nil, err
 	}
@@ -153,6 +156,7 @@
 		return err
 	}
 	res.inFlight.RecordProgress(time.Now())
+	q.attemptEvents += bytes.Count(complete, eventEnd)
 	q.beginStream(res.inFlight.Server)
 	return q.writeEvents(res.response, complete)
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -64,7 +64,7 @@
 	mu   sync.Mutex
 	idle map[backend.Instance][]*Conn
 
-	dials, dialFailures, reuses, strayResponses metrics.Counter
+	dials, dialFailures, reuses, strayResponses, endChecks metrics.Counter
 }
 
 // NewPool returns an empty pool and registers its metrics.
@@ -75,6 +75,7 @@
 		dialFailures:   metrics.GetOrRegisterCounter("upstream.dials_failed", registry),
 		reuses:         metrics.GetOrRegisterCounter("upstream.reuses", registry),
 		strayResponses: metrics.GetOrRegisterCounter("upstream.stray_answers", registry),
+		endChecks:      metrics.GetOrRegisterCounter("upstream.end_checks", registry),
 	}
 }
 
