Move the spreading of records among daemons to a package of its own

Rate limits were spread by code that only they could use. What must spread next, the evidence about requests that crash servers, needs the same: changes to a few random daemons in a few rounds, refreshes, and a request for all records at the start. gossip.Exchange does this for any kind of record, gossip.Gate is the wait of a daemon that starts. The messages on the wire stay the same.

--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/gossip"
 	"github.com/jacinththread/jacinththread/internal/ratetest"
 	"github.com/jacinththread/jacinththread/peer/peertest"
 )
@@ -72,7 +73,7 @@
 type node struct {
 	name     string
 	limiter  *Limiter
-	exchange *Exchange
+	exchange *gossip.Exchange[report]
 	// up tells whether the daemon runs, changedAt since when it does or does not.
 	up        bool
 	changedAt time.Time
@@ -129,14 +130,7 @@
 }
 
 // serves reports whether the daemon doesn't make requests wait for the others' limits.
-func (n *node) serves() bool {
-	select {
-	case <-n.limiter.synced:
-		return true
-	default:
-		return time.Since(n.changedAt) > maxSyncWait
-	}
-}
+func (n *node) serves() bool { return n.limiter.synced.IsOpen() }
 
 func (f *simFleet) kill(n *node) {
 	n.up, n.changedAt = false, time.Now()
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -9,11 +9,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/gossip"
 )
 
-// maxSyncWait is how long a daemon that starts waits for the limits that others know.
-const maxSyncWait = 300 * time.Millisecond
-
 // Limiter decides whether the local daemon may send a request to a server now. It is safe
 // for concurrent use.
 type Limiter struct {
@@ -23,9 +21,8 @@
 	// epoch is the origin of the clock for slots, which ignores later changes of the wall
 	// clock.
 	epoch time.Time
-	// synced is closed when the limits known to other daemons have been received.
-	synced     chan struct{}
-	syncedOnce sync.Once
+	// synced is opened when the limits known to other daemons have been received.
+	synced *gossip.Gate
 
 	mu      sync.Mutex
 	owners  *owners
@@ -48,32 +45,18 @@
 func New(self string, logger *log.Logger, registry metrics.Registry) *Limiter {
 	return &Limiter{
 		self: self, log: logger, epoch: time.Now(), owners: newOwners(), servers: map[backend.Instance]*serverLimit{},
-		synced:  make(chan struct{}),
+		synced:  gossip.NewGate(),
 		limited: metrics.GetOrRegisterGauge("ratelimit.servers", registry),
 	}
 }
 
 // MarkSynced records that the limits known to other daemons have been received, or that
 // there are no other daemons.
-func (l *Limiter) MarkSynced() { l.syncedOnce.Do(func() { close(l.synced) }) }
+func (l *Limiter) MarkSynced() { l.synced.Open() }
 
-// AwaitSync waits until the limits known to other daemons have been received, at most
-// maxSyncWait after New.
-func (l *Limiter) AwaitSync(ctx context.Context) {
-	select {
-	case <-l.synced:
-		return
-	default:
-	}
-	timer := time.NewTimer(time.Until(l.epoch.Add(maxSyncWait)))
-	defer timer.Stop()
-	select {
-	case <-l.synced:
-	case <-timer.C:
-		l.MarkSynced()
-	case <-ctx.Done():
-	}
-}
+// AwaitSync waits until the limits known to other daemons have been received, for a limited
+// time after New.
+func (l *Limiter) AwaitSync(ctx context.Context) { l.synced.Wait(ctx) }
 
 // SetView updates the daemons that share the limits. It must be called periodically.
 func (l *Limiter) SetView(v View, now time.Time) {
@@ -117,7 +100,7 @@
 	if s.Limited {
 		known.schedule = newSchedule(server.ID, s.PerSecond, l.clock(s.HeardAt))
 	}
-	known.roundsLeft = changeRounds
+	known.roundsLeft = gossip.ChangeRounds
 	l.limited.Update(l.limitedCount())
 	l.log.Info("rate limit of a server changed", "server", server.ID, "limited", s.Limited, "per_second", s.PerSecond, "source", source)
 }
