Withhold requests with a prompt part under which servers crash

Cause: every daemon took each request for a new one and each broken exchange for an event of its own. Nothing pooled what the fleet knew, and one request was carried by retries to as many servers as its route allows. The class is that of the rate limits: a bound on what all daemons do together, decided by each alone.

Change: a daemon whose exchange was ended by a server dials it; a refused connection tells a crash. Package quarantine pools the crashes by part, over all daemons. A crash counts until the same software answers a request with the part, so parts that sound requests share are cleared by the next answer. From three on, requests with the part get 503 at once, without a Retry-After. A request under which two servers ended is not sent again.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/upstream"
@@ -42,6 +43,7 @@
 	tracker    *placement.Tracker
 	budget     *budget.Budget
 	rateLimits *ratelimit.Limiter
+	quarantine *quarantine.List
 	members    *membership.Service
 	fleet      fleet
 	callers    *ingress.Server
@@ -65,7 +67,8 @@
 	d := &Daemon{settings: s, adapter: a, log: i.Log, metrics: i.Metrics, tracer: i.Tracer}
 	d.current.Store(s)
 	d.catalog = backend.NewCatalog(d.log)
-	d.records = &records{decoder: a.Decoder, catalog: d.catalog, onConfig: d.announceConfig, log: d.log}
+	d.quarantine = quarantine.New(s.Peers, func(hash uint64) string { return d.fleet.Ring().Owner(hash) }, d.log, d.metrics)
+	d.records = &records{decoder: a.Decoder, catalog: d.catalog, onConfig: d.announceConfig, onVerdict: d.quarantine.Restore, log: d.log}
 	d.copy = mirror.NewCopy(d.records.apply, d.records.isRenewal)
 	d.pool = upstream.NewPool(d.metrics)
 	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -13,6 +13,7 @@
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/resume"
 	"github.com/jacinththread/jacinththread/telemetry"
@@ -32,6 +33,8 @@
 	callersName      = "callers.http"
 	registerName     = "registration"
 	limitsName       = "ratelimit.exchange"
+	quarantineName   = "quarantine.exchange"
+	verdictsName     = "quarantine.store"
 )
 
 const (
@@ -68,6 +71,8 @@
 		{Name: exchangeName, Requires: []string{peerName, membershipName}, New: d.newExchange},
 		{Name: loadExchangeName, Requires: []string{peerName, membershipName}, New: d.newLoadExchange},
 		{Name: limitsName, Requires: []string{peerName, membershipName}, New: d.newLimitExchange},
+		{Name: quarantineName, Requires: []string{peerName, membershipName}, New: d.newQuarantineExchange},
+		{Name: verdictsName, Requires: []string{membershipName}, New: d.newVerdictKeeper},
 		{Name: followerName, Requires: []string{membershipName, exchangeName}, New: d.newFollower},
 		{Name: registerName, New: d.newRegistration},
 		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
@@ -146,6 +151,14 @@
 	return ratelimit.NewExchange(d.rateLimits, node, d.fleet.OtherNames, d.log, d.metrics), nil
 }
 
+func (d *Daemon) newQuarantineExchange(r kernel.Registry) (kernel.Service, error) {
+	node, err := kernel.Get[*peer.Node](r, peerName)
+	if err != nil {
+		return nil, err
+	}
+	return quarantine.NewExchange(d.quarantine, node, d.fleet.OtherNames, d.log, d.metrics), nil
+}
+
 func (d *Daemon) newFollower(kernel.Registry) (kernel.Service, error) {
 	return mirror.NewFollower(d.copy, d.adapter.Source, d.fleet.Watchers, d.exchange.Announce, d.log, d.metrics), nil
 }
@@ -175,7 +188,7 @@
 		return nil, err
 	}
 	f := forward.New(forward.Config{
-		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget, Limits: d.rateLimits,
+		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget, Limits: d.rateLimits, Quarantine: d.quarantine,
 		Streams:     resume.New(node, d.fleet.Ring, d.log, d.metrics),
 		HeaderCodec: d.adapter.HeaderCodec, Domain: d.settings.Domain, CatalogFreshness: d.catalogFreshness, Log: d.log, Metrics: d.metrics, Tracer: d.tracer,
 	})
--- a/entry/records.go
+++ b/entry/records.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -20,7 +21,9 @@
 	table   atomic.Pointer[route.Table]
 	// onConfig is called with the version of each configuration put in force.
 	onConfig func(route.Version)
-	log      *log.Logger
+	// onVerdict is called with the value of each verdict of the quarantine.
+	onVerdict func(value []byte, now time.Time) error
+	log       *log.Logger
 }
 
 // Table returns the routing table of the configuration in force, or nil if none
@@ -37,6 +40,8 @@
 			configs = append(configs, e)
 		} else if id, ok := strings.CutPrefix(e.Key, ServersPrefix); ok {
 			servers = append(servers, r.serverChange(id, e))
+		} else if strings.HasPrefix(e.Key, VerdictsPrefix) && !e.Deleted {
+			r.applyVerdict(e)
 		}
 	}
 	r.catalog.Apply(servers, freshness(status))
@@ -84,6 +89,14 @@
 	r.log.Info("configuration in force", "version", int64(c.Version), "revision", e.Revision, "routes", routes, "keys", keys)
 }
 
+// applyVerdict applies a verdict of the quarantine. A verdict that was deleted has ended by answers,
+// which daemons tell each other.
+func (r *records) applyVerdict(e store.Entry) {
+	if err := r.onVerdict(e.Value, time.Now()); err != nil {
+		r.log.Error("decoding a verdict failed", "key", e.Key, "revision", e.Revision, "err", err)
+	}
+}
+
 // serverChange decodes the record of a server. A record that cannot be decoded
 // is marked as invalid.
 func (r *records) serverChange(id string, e store.Entry) backend.Change {
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -44,6 +44,7 @@
 	d.pool.Sweep(d.catalog.Usable)
 	d.tracker.Forget(d.catalog.Known)
 	d.rateLimits.Forget(d.catalog.Known)
+	d.quarantine.Forget(now)
 	registered := d.registeredDaemons()
 	d.registered.Store(int64(len(registered)))
 	d.rateLimits.SetView(ratelimit.View{
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -194,7 +194,7 @@
 // failed attempt. Once the request has been sent, a retry is taken out of the
 // service's retry budget.
 func (q *request) shouldRetry(ctx context.Context, res attemptResult) bool {
-	if ctx.Err() != nil || q.sends >= maxSends || !q.canContinue() {
+	if ctx.Err() != nil || q.sends >= maxSends || !q.canContinue() || q.crashedTooOften() {
 		return false
 	}
 	if res.runState != notRun && (!q.route.Repeatable() || q.attempts >= q.route.MaxAttempts) {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -15,14 +15,19 @@
 	errOverloaded = errors.New("servers have more work than the request can wait for")
 )
 
-// chooseServer chooses one of the ready servers that were not tried yet and whose rate
-// limits permit a request. If there is none, it ends the request and returns nil.
+// chooseServer chooses one of the ready servers that were not tried yet, from which the request
+// isn't withheld, and whose rate limits permit a request. If there is none, it ends the request and returns nil.
 func (q *request) chooseServer(ctx context.Context) *placement.InFlight {
 	for {
 		untried := q.untriedServers()
-		permitted := q.permitted(untried)
-		if len(permitted) == 0 && len(untried) > 0 {
-			if !q.awaitPermit(ctx, untried) {
+		allowed := q.allowed(untried)
+		if len(allowed) == 0 && len(untried) > 0 {
+			q.refuseWithheld(ctx)
+			return nil
+		}
+		permitted := q.permitted(allowed)
+		if len(permitted) == 0 && len(allowed) > 0 {
+			if !q.awaitPermit(ctx, allowed) {
 				return nil
 			}
 			continue
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/resume"
 	"github.com/jacinththread/jacinththread/route"
@@ -99,6 +100,7 @@
 	Tracker     *placement.Tracker
 	Budget      *budget.Budget
 	Limits      *ratelimit.Limiter
+	Quarantine  *quarantine.List
 	Streams     StreamOrigins
 	HeaderCodec HeaderCodec
 	// Domain is the failure domain of the local daemon.
@@ -162,6 +164,7 @@
 	defer cancel()
 	// Until then, a daemon that has just started has no contact with the others.
 	q.cfg.Limits.AwaitSync(ctx)
+	q.cfg.Quarantine.AwaitSync(ctx)
 	if q.resumesStream() && !q.findOrigin(ctx) {
 		q.recordOutcome()
 		return
@@ -203,6 +206,8 @@
 	stream     *eventSplitter
 	// attemptEvents is the number of events relayed in the current attempt.
 	attemptEvents int
+	// crashes is the number of servers that ended before they had answered the request.
+	crashes int
 	// origin is where the stream began of which the caller has events, or nil if it has
 	// none.
 	origin *resume.Origin
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/ratelimit"
 	"github.com/jacinththread/jacinththread/resume"
 	"github.com/jacinththread/jacinththread/route"
@@ -34,6 +35,9 @@
 
 func (testHeaderCodec) Meta(h http.Header) RequestMeta {
 	m := RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
+	for id := range strings.FieldsSeq(h.Get("Parts")) {
+		m.Prompt = append(m.Prompt, placement.NewPart(id, 1))
+	}
 	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
 		m.Wait = time.Duration(ms) * time.Millisecond
 	}
@@ -92,6 +96,8 @@
 	tracer  trace.Tracer
 	log     *log.Logger
 	origins knownOrigins
+	// quarantine is the quarantine list of a fleet of one daemon.
+	quarantine *quarantine.List
 
 	mu   sync.Mutex
 	runs []run
@@ -118,6 +124,8 @@
 	t.Helper()
 	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer(""), log: log.New(io.Discard)}
 	d.catalog = backend.NewCatalog(log.New(io.Discard))
+	d.quarantine = quarantine.New("self", func(uint64) string { return "self" }, d.log, metrics.NewRegistry())
+	d.quarantine.MarkSynced()
 	for i := range routes {
 		routes[i].Host, routes[i].Shares = "h", []route.Share{{Service: "s", Weight: 1}}
 		routes[i].MaxAttempts = max(1, routes[i].MaxAttempts)
@@ -134,7 +142,7 @@
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: upstream.NewPool(registry),
 		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Second },
 		Tracker:          placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
-		Limits: d.limits(), Streams: d.origins,
+		Limits: d.limits(), Quarantine: d.quarantine, Streams: d.origins,
 		HeaderCodec: testHeaderCodec{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
 	})
 	d.ingress = ingress.New(ingress.Config{
@@ -163,7 +171,28 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(d.t, err)
 	d.t.Cleanup(func() { l.Close() })
-	d.put(backend.Server{ID: id, Service: "s", Version: "v1", Addr: l.Addr().String()})
+	d.addServerAt(id, l, f)
+}
+
+// addEndingServer starts a server that calls before and ends when it gets a request.
+func (d *deployment) addEndingServer(id string, before func(backend.Server)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(d.t, err)
+	d.addServerAt(id, l, func(d *deployment, c net.Conn, _ *bufio.Reader, r run) bool {
+		d.recordRun(r)
+		before(testServer(id, l))
+		l.Close()
+		return false
+	})
+}
+
+func testServer(id string, l net.Listener) backend.Server {
+	return backend.Server{ID: id, Service: "s", Version: "v1", Addr: l.Addr().String()}
+}
+
+// addServerAt serves the requests of a listener with f.
+func (d *deployment) addServerAt(id string, l net.Listener, f serverBehavior) {
+	d.put(testServer(id, l))
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -149,6 +149,9 @@
 		return
 	}
 	q.outcome, q.status = answered, resp.Status
+	if resp.Status < http.StatusMultipleChoices {
+		q.recordAnswered(res.inFlight.Server)
+	}
 	q.recordRelayed(time.Now())
 	h := withoutHopByHop(resp.Header)
 	framing, length := ingress.Sized, int64(len(body))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -101,6 +101,7 @@
 	q.stream.pending = q.stream.pending[:0] // Drops the partial event of the previous server.
 	err := q.copyEvents(res)
 	if err == nil {
+		q.recordAnswered(res.inFlight.Server)
 		res.inFlight.End(time.Now(), placement.Served)
 		q.outcome, q.status = answered, http.StatusOK
 		return false
@@ -156,7 +157,11 @@
 		return err
 	}
 	res.inFlight.RecordProgress(time.Now())
+	before := q.attemptEvents
 	q.attemptEvents += bytes.Count(complete, eventEnd)
+	if before < provenEvents && q.attemptEvents >= provenEvents {
+		q.recordAnswered(res.inFlight.Server)
+	}
 	q.beginStream(res.inFlight.Server)
 	return q.writeEvents(res.response, complete)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -44,6 +44,7 @@
 	KindServerLoads  Kind = 60
 	KindServerTotals Kind = 61
 	KindServerLimits Kind = 62
+	KindQuarantine   Kind = 63
 
 	KindStreamOrigin Kind = 72
 	KindStreamQuery  Kind = 73
--- /dev/null
+++ b/quarantine/exchange.go
@@ -0,0 +1,149 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/gossip"
+	"github.com/jacinththread/jacinththread/peer"
+)
+
+// report is the record of a subject in a message.
+type report struct {
+	Kind    Kind
+	Hash    uint64
+	Crashes []crashReport
+	Sound   []Software
+	Trials  int
+	// TriedAgoMs and SeenAgoMs are the times since the last trial and since the subject was last seen,
+	// when the message was sent.
+	TriedAgoMs, SeenAgoMs int64
+}
+
+// crashReport is a crash in a message.
+type crashReport struct {
+	Server   string
+	Started  int64
+	Software Software
+	Customer string
+	AgoMs    int64
+	Answered bool
+}
+
+// NewExchange returns the service that passes records on to the other daemons. The function others
+// returns the names of the other live daemons.
+func NewExchange(l *List, bus peer.Bus, others func() []string, logger *log.Logger, registry metrics.Registry) *gossip.Exchange[report] {
+	return gossip.New(gossip.Config[report]{
+		Kind: peer.KindQuarantine, State: l, Bus: bus, Others: others, Synced: l.synced, Log: logger,
+		Sent: metrics.GetOrRegisterCounter("quarantine.messages", registry),
+	})
+}
+
+func newReport(subject Subject, rec *record, now time.Time) report {
+	r := report{
+		Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Trials: rec.trials,
+		TriedAgoMs: now.Sub(rec.triedAt).Milliseconds(), SeenAgoMs: now.Sub(rec.seenAt).Milliseconds(),
+	}
+	for _, c := range rec.crashes {
+		r.Crashes = append(r.Crashes, crashReport{
+			Server: c.Server.ID, Started: c.Server.Started, Software: c.Software, Customer: c.Customer,
+			AgoMs: now.Sub(c.At).Milliseconds(), Answered: c.Answered,
+		})
+	}
+	return r
+}
+
+func (r *report) subject() Subject { return Subject{Kind: r.Kind, Hash: r.Hash} }
+
+func (c *crashReport) crash(now time.Time) Crash {
+	return Crash{
+		Server: backend.Instance{ID: c.Server, Started: c.Started}, Software: c.Software, Customer: c.Customer,
+		At: ago(now, c.AgoMs), Answered: c.Answered,
+	}
+}
+
+func ago(now time.Time, ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+
+// TakeChanges implements gossip.State.
+func (l *List) TakeChanges(limit int, now time.Time) []report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []report
+	for subject, rec := range l.records {
+		if rec.roundsLeft > 0 && len(out) < limit {
+			rec.roundsLeft--
+			out = append(out, newReport(subject, rec, now))
+		}
+	}
+	return out
+}
+
+// position is the place of a subject in the order of refreshes: verdicts come first.
+func position(subject Subject, rec *record) string {
+	if rec.withheld() {
+		return "0/" + subject.String()
+	}
+	return "1/" + subject.String()
+}
+
+// RecordsAfter implements gossip.State.
+func (l *List) RecordsAfter(key string, limit int, now time.Time) ([]report, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	type entry struct {
+		position string
+		subject  Subject
+	}
+	var entries []entry
+	for subject, rec := range l.records {
+		if p := position(subject, rec); p > key {
+			entries = append(entries, entry{p, subject})
+		}
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.position, b.position) })
+	var out []report
+	last := ""
+	for _, e := range entries[:min(limit, len(entries))] {
+		out = append(out, newReport(e.subject, l.records[e.subject], now))
+		last = e.position
+	}
+	return out, last
+}
+
+// Merge implements gossip.State.
+func (l *List) Merge(reports []report, from string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range reports {
+		l.merge(&reports[i], from, now)
+	}
+}
+
+func (l *List) merge(r *report, from string, now time.Time) {
+	subject := r.subject()
+	for _, c := range r.Crashes {
+		crash := c.crash(now)
+		if l.answers.exonerate(subject, crash) {
+			crash.Answered = true
+		}
+		l.addCrash(subject, crash, from)
+	}
+	rec := l.records[subject]
+	if rec == nil {
+		return
+	}
+	for _, s := range r.Sound {
+		l.update(subject, rec, from, func() bool { return rec.addSound(s) })
+	}
+	if r.Trials > rec.trials {
+		rec.trials, rec.triedAt, rec.roundsLeft = r.Trials, ago(now, r.TriedAgoMs), gossip.ChangeRounds
+	}
+	if seen := ago(now, r.SeenAgoMs); seen.After(rec.seenAt) {
+		rec.seenAt = seen
+	}
+}
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crashesToWithhold is the number of unanswered crashes from which requests with the subject are
+	// withheld. A subject that causes none of them is in that many by chance only if none of its
+	// requests is answered in between.
+	crashesToWithhold = 3
+	// maxCrashes bounds the crashes kept for a subject.
+	maxCrashes = 16
+	// maxSound bounds the software kept that answered requests with the subject.
+	maxSound = 8
+	// maxTrials is the number of trials of a verdict, apart from those after idleTime.
+	maxTrials = 2
+	// trialInterval is the time after a trial in which there is no other one. The result of a trial
+	// is known to all daemons by then.
+	trialInterval = 15 * time.Second
+	// idleTime is the time without requests with a withheld subject after which one is tried again.
+	idleTime = 10 * time.Minute
+	// suspicionAge is how long crashes count that are too few for a verdict, verdictAge how long a
+	// verdict is kept without requests with the subject.
+	suspicionAge = time.Hour
+	verdictAge   = 24 * time.Hour
+)
+
+// record is what is known of a subject.
+type record struct {
+	crashes []Crash
+	// sound is the software that answered requests with the subject. It is not sound if there are
+	// unanswered crashes of it as well.
+	sound []Software
+	// trials is the number of trials, triedAt the time of the last one.
+	trials  int
+	triedAt time.Time
+	// seenAt is when there was last a crash under the subject or a request with it that was withheld.
+	seenAt time.Time
+	// roundsLeft is the number of rounds in which the record is still sent as a change.
+	roundsLeft int
+}
+
+// unanswered returns the number of crashes that count against the subject.
+func (r *record) unanswered() int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.Answered {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *record) withheld() bool { return r.unanswered() >= crashesToWithhold }
+
+// blames reports whether a crash that fits counts against the subject.
+func (r *record) blames(fits func(Crash) bool) bool {
+	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return !c.Answered && fits(c) })
+}
+
+// permits reports whether requests with the subject may be sent to servers with the given software.
+func (r *record) permits(s Software) bool {
+	if !r.withheld() {
+		return true
+	}
+	return slices.Contains(r.sound, s) && !r.blames(func(c Crash) bool { return c.Software == s })
+}
+
+// mayTry reports whether the verdict may be wrong or outdated for a request of a customer to servers
+// with the given software, so that one may be sent as a trial.
+func (r *record) mayTry(customer string, s Software, now time.Time) bool {
+	if now.Sub(r.triedAt) < trialInterval {
+		return false
+	}
+	if now.Sub(r.seenAt) > idleTime {
+		return true
+	}
+	if r.trials >= maxTrials {
+		return false
+	}
+	otherSoftware := !r.blames(func(c Crash) bool { return c.Software == s })
+	otherCustomer := !r.blames(func(c Crash) bool { return c.Customer == customer }) && r.customers() == 1
+	return otherSoftware || otherCustomer
+}
+
+// customers returns the number of customers whose requests were in unanswered crashes.
+func (r *record) customers() int {
+	names := map[string]bool{}
+	for _, c := range r.crashes {
+		if !c.Answered {
+			names[c.Customer] = true
+		}
+	}
+	return len(names)
+}
+
+// add adds a crash, or marks a known one as answered. It reports whether the record changed. Two
+// requests with the subject at the same server are one crash.
+func (r *record) add(c Crash) bool {
+	for i := range r.crashes {
+		known := &r.crashes[i]
+		if known.Server != c.Server {
+			continue
+		}
+		changed := c.Answered && !known.Answered
+		known.Answered = known.Answered || c.Answered
+		return changed
+	}
+	if len(r.crashes) == maxCrashes && !r.dropCrash() {
+		return false
+	}
+	r.crashes = append(r.crashes, c)
+	return true
+}
+
+// dropCrash drops the oldest answered crash. It returns false if there is none.
+func (r *record) dropCrash() bool {
+	i := slices.IndexFunc(r.crashes, func(c Crash) bool { return c.Answered })
+	if i < 0 {
+		return false
+	}
+	r.crashes = slices.Delete(r.crashes, i, i+1)
+	return true
+}
+
+// answer records that a request with the subject was answered. It reports whether the record changed.
+func (r *record) answer(s Software) bool {
+	changed := false
+	for i := range r.crashes {
+		if c := &r.crashes[i]; c.Software == s && !c.Answered {
+			c.Answered, changed = true, true
+		}
+	}
+	return r.addSound(s) || changed
+}
+
+func (r *record) addSound(s Software) bool {
+	if slices.Contains(r.sound, s) || len(r.sound) == maxSound {
+		return false
+	}
+	r.sound = append(r.sound, s)
+	return true
+}
+
+// expired reports whether the record is no longer needed.
+func (r *record) expired(now time.Time) bool {
+	age := suspicionAge
+	if r.withheld() {
+		age = verdictAge
+	}
+	return now.Sub(r.seenAt) > age
+}
--- /dev/null
+++ b/quarantine/stored.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jacinththread/jacinththread/backend"
+)
+
+// storedVerdict is the JSON form of a verdict in the platform's store.
+type storedVerdict struct {
+	Kind    Kind          `json:"kind"`
+	Hash    uint64        `json:"hash,string"`
+	Crashes []storedCrash `json:"crashes"`
+	Sound   []Software    `json:"sound,omitempty"`
+	Trials  int           `json:"trials,omitempty"`
+}
+
+type storedCrash struct {
+	Server   string `json:"server"`
+	Started  int64  `json:"started"`
+	Service  string `json:"service"`
+	Version  string `json:"version"`
+	Customer string `json:"customer"`
+	// AtMs is when the server crashed, in Unix milliseconds by the clock of the daemon that saw it.
+	AtMs int64 `json:"at_ms"`
+}
+
+// Key returns the key of a subject's verdict in the store.
+func (s Subject) Key() string { return s.String() }
+
+// ParseKey is the inverse of Key.
+func ParseKey(key string) (Subject, error) {
+	var s Subject
+	if _, err := fmt.Sscanf(key, "%d/%x", &s.Kind, &s.Hash); err != nil {
+		return Subject{}, fmt.Errorf("key %q of a verdict: %w", key, err)
+	}
+	return s, nil
+}
+
+// Verdicts returns the verdicts to store, by key. What changes with each withheld request is not in
+// them.
+func (l *List) Verdicts() (map[string][]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string][]byte{}
+	for subject, rec := range l.records {
+		if !rec.withheld() {
+			continue
+		}
+		value, err := json.Marshal(newStoredVerdict(subject, rec))
+		if err != nil {
+			return nil, err
+		}
+		out[subject.Key()] = value
+	}
+	return out, nil
+}
+
+func newStoredVerdict(subject Subject, rec *record) storedVerdict {
+	v := storedVerdict{Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Trials: rec.trials}
+	for _, c := range rec.crashes {
+		if c.Answered {
+			continue
+		}
+		v.Crashes = append(v.Crashes, storedCrash{
+			Server: c.Server.ID, Started: c.Server.Started, Service: c.Software.Service, Version: c.Software.Version,
+			Customer: c.Customer, AtMs: c.At.UnixMilli(),
+		})
+	}
+	slices.SortFunc(v.Crashes, func(a, b storedCrash) int { return cmp.Compare(a.Server, b.Server) })
+	return v
+}
+
+// Restore applies a verdict from the store.
+func (l *List) Restore(value []byte, now time.Time) error {
+	var v storedVerdict
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	subject := Subject{Kind: v.Kind, Hash: v.Hash}
+	for _, c := range v.Crashes {
+		l.addCrash(subject, Crash{
+			Server: backend.Instance{ID: c.Server, Started: c.Started}, Software: Software{Service: c.Service, Version: c.Version},
+			Customer: c.Customer, At: time.UnixMilli(c.AtMs),
+		}, "store")
+	}
+	rec := l.records[subject]
+	if rec == nil {
+		return nil
+	}
+	for _, s := range v.Sound {
+		l.update(subject, rec, "store", func() bool { return rec.addSound(s) })
+	}
+	rec.trials = max(rec.trials, v.Trials)
+	rec.seenAt = now
+	return nil
+}
+
+// Owns reports whether the local daemon is the one that stores the verdict on a subject.
+func (l *List) Owns(s Subject) bool { return l.owner(s.Hash) == l.self }
--- /dev/null
+++ b/quarantine/subject.go
@@ -0,0 +1,60 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jacinththread/jacinththread/backend"
+)
+
+// Kind is what requests with the same subject have in common.
+type Kind uint8
+
+// Kinds of subjects.
+const (
+	// PromptPart is a part of the prompt. Its hash is that of the part's ID.
+	PromptPart Kind = 1
+)
+
+// Subject is something that requests have in common and that may crash servers.
+type Subject struct {
+	Kind Kind
+	Hash uint64
+}
+
+// String returns the subject's kind and hash for logs.
+func (s Subject) String() string { return fmt.Sprintf("%d/%016x", s.Kind, s.Hash) }
+
+// Software is the software of a backend server.
+type Software struct {
+	Service string
+	Version string
+}
+
+// SoftwareOf returns the software of a server.
+func SoftwareOf(s *backend.Server) Software { return Software{Service: s.Service, Version: s.Version} }
+
+// Request is what decides whether a request is withheld.
+type Request struct {
+	// Subjects are those of the request. Only the first maxSubjects count.
+	Subjects []Subject
+	// Customer is the name of the caller's customer, or empty.
+	Customer string
+}
+
+// maxSubjects bounds the subjects of one request that are recorded.
+const maxSubjects = 64
+
+func (r *Request) subjects() []Subject { return r.Subjects[:min(maxSubjects, len(r.Subjects))] }
+
+// Crash is the end of a server's process before it had answered a request.
+type Crash struct {
+	Server   backend.Instance
+	Software Software
+	// Customer is the customer of the request.
+	Customer string
+	At       time.Time
+	// Answered is set once the software has answered another request with the same subject. The
+	// crash then has another cause.
+	Answered bool
+}
