Release sound parts that are in the crashes of a withheld one

A rare part is in three of 25 crashes by chance before the answers to it are known everywhere. And a part that callers always send beside the offender is in the same crashes, with nothing to tell them apart once both are withheld.

A verdict now takes one crash more for each eight of the last ten seconds, up to five. Crashes that a withheld part with more crashes explains don't count against others. While two are in the same crashes, a request with one of them gets a trial.

--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -19,7 +19,9 @@
 	Hash    uint64
 	Crashes []crashReport
 	Sound   []Software
-	Trials  int
+	// Convicted is set while requests with the subject are withheld.
+	Convicted bool
+	Trials    int
 	// TriedAgoMs and SeenAgoMs are the times since the last trial and since the subject was last seen,
 	// when the message was sent.
 	TriedAgoMs, SeenAgoMs int64
@@ -46,7 +48,7 @@
 
 func newReport(subject Subject, rec *record, now time.Time) report {
 	r := report{
-		Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Trials: rec.trials,
+		Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Convicted: rec.convicted, Trials: rec.trials,
 		TriedAgoMs: now.Sub(rec.triedAt).Milliseconds(), SeenAgoMs: now.Sub(rec.seenAt).Milliseconds(),
 	}
 	for _, c := range rec.crashes {
@@ -140,6 +142,9 @@
 	for _, s := range r.Sound {
 		l.update(subject, rec, from, func() bool { return rec.addSound(s) })
 	}
+	if r.Convicted && !rec.convicted {
+		l.judge(subject, rec, crashesToWithhold, from)
+	}
 	if r.Trials > rec.trials {
 		rec.trials, rec.triedAt, rec.roundsLeft = r.Trials, ago(now, r.TriedAgoMs), gossip.ChangeRounds
 	}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -38,13 +38,16 @@
 	mu      sync.Mutex
 	records map[Subject]*record
 	answers answers
+	recent  recentCrashes
+	// convicted are the records of the withheld subjects.
+	convicted verdicts
 }
 
 // New returns an empty List of the daemon with the given name. The function owner returns the daemon
 // that owns the key with a hash, the same one at all daemons.
 func New(self string, owner func(hash uint64) string, logger *log.Logger, registry metrics.Registry) *List {
 	return &List{
-		self: self, owner: owner, log: logger, synced: gossip.NewGate(), records: map[Subject]*record{}, answers: newAnswers(),
+		self: self, owner: owner, log: logger, synced: gossip.NewGate(), records: map[Subject]*record{}, answers: newAnswers(), recent: recentCrashes{}, convicted: verdicts{},
 		subjects: metrics.GetOrRegisterGauge("quarantine.subjects", registry),
 		verdicts: metrics.GetOrRegisterGauge("quarantine.verdicts", registry),
 		withheld: metrics.GetOrRegisterCounter("quarantine.withheld", registry),
@@ -124,7 +127,7 @@
 		if rec == nil || rec.permits(s) {
 			continue
 		}
-		if l.owner(subject.Hash) != l.self || !rec.mayTry(r.Customer, s, now) {
+		if l.owner(subject.Hash) != l.self || !rec.mayTry(r.Customer, s, l.convicted.weak(subject, rec, &r), now) {
 			return false
 		}
 		tried = append(tried, rec)
@@ -165,20 +168,15 @@
 	if c.At.After(rec.seenAt) {
 		rec.seenAt = c.At
 	}
+	l.recent.add(c)
 	l.update(subject, rec, source, func() bool { return rec.add(c) })
 }
 
-// update makes a change to a record, and logs and spreads it. The caller must hold l.mu.
+// update makes a change to a record, and judges and spreads it. The caller must hold l.mu.
 func (l *List) update(subject Subject, rec *record, source string, change func() bool) {
-	before := rec.withheld()
-	if !change() {
-		return
-	}
-	rec.roundsLeft = gossip.ChangeRounds
-	if after := rec.withheld(); after != before {
-		l.countVerdict(after)
-		l.log.Warn("requests under which servers crash are withheld or sent again", "subject", subject, "withheld", after,
-			"crashes", rec.unanswered(), "customers", rec.customers(), "source", source)
+	if change() {
+		rec.roundsLeft = gossip.ChangeRounds
+		l.judgeNow(subject, rec, source)
 	}
 }
 
@@ -195,22 +193,11 @@
 
 // remove removes a record. The caller must hold l.mu.
 func (l *List) remove(subject Subject, rec *record) {
-	if rec.withheld() {
-		l.countVerdict(false)
-	}
+	l.setVerdict(subject, rec, false)
 	delete(l.records, subject)
 	l.subjects.Update(int64(len(l.records)))
 }
 
-// countVerdict counts a verdict that began or ended. The caller must hold l.mu.
-func (l *List) countVerdict(began bool) {
-	change := int64(-1)
-	if began {
-		change = 1
-	}
-	l.verdicts.Update(l.withheldCount.Add(change))
-}
-
 // makeRoom removes records if there are too many: those with the fewest crashes of the customers
 // that have the most records, so that no customer can displace what is known of the others'. The caller
 // must hold l.mu.
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -56,6 +56,34 @@
 	assert.Assert(t, l.Permits(shared, oldSoftware))
 }
 
+// It guards against sound parts that are withheld with the one that they came with in all crashes.
+func TestPartThatAnotherOneExplainsIsReleased(t *testing.T) {
+	l, now := newTestList(), time.Now()
+	offender, document := part("offender", 1), part("document", 1)
+	both := Request{Subjects: []Subject{document, offender}, Customer: "c"}
+	sound := Request{Subjects: []Subject{document}, Customer: "c"}
+	crashes(l, both, oldSoftware, 0, crashesToWithhold, now)
+	assert.Assert(t, !l.Permits(sound, oldSoftware))
+	assert.Assert(t, !l.TryOnce(both, oldSoftware, now), "trial with the part that may explain the crashes")
+	assert.Assert(t, l.TryOnce(sound, oldSoftware, now), "no trial without it")
+	crashes(l, Request{Subjects: []Subject{offender}, Customer: "c"}, oldSoftware, 10, 1, now)
+	assert.Assert(t, l.Permits(sound, oldSoftware))
+	assert.Assert(t, !l.Permits(both, oldSoftware))
+}
+
+// It guards against verdicts by chance while many servers crash.
+func TestVerdictTakesMoreCrashesWhileManyServersCrash(t *testing.T) {
+	l, now := newTestList(), time.Now()
+	for i := range 2 * crashesPerStep {
+		crashes(l, Request{Subjects: []Subject{part("rare", i)}, Customer: "c"}, oldSoftware, 100+i, 1, now)
+	}
+	r := Request{Subjects: []Subject{part("a", 1)}, Customer: "c"}
+	crashes(l, r, oldSoftware, 0, maxCrashesToWithhold-1, now)
+	assert.Assert(t, l.Permits(r, oldSoftware))
+	crashes(l, r, oldSoftware, 50, 1, now)
+	assert.Assert(t, !l.Permits(r, oldSoftware))
+}
+
 func TestAnswerOfNewSoftwareDoesNotClearTheOld(t *testing.T) {
 	l, now := newTestList(), time.Now()
 	r := Request{Subjects: []Subject{part("a", 1)}, Customer: "c"}
@@ -104,7 +132,7 @@
 		crashes(l, flood, oldSoftware, 100+i, 1, now.Add(time.Second))
 	}
 	assert.Assert(t, len(l.records) <= maxRecords)
-	crashes(l, r, oldSoftware, 50, 1, now)
+	crashes(l, r, oldSoftware, 50, maxCrashesToWithhold-(crashesToWithhold-1), now)
 	assert.Assert(t, !l.Permits(r, oldSoftware))
 }
 
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -30,6 +30,8 @@
 // record is what is known of a subject.
 type record struct {
 	crashes []Crash
+	// convicted is set once there were enough unanswered crashes for a verdict.
+	convicted bool
 	// sound is the software that answered requests with the subject. It is not sound if there are
 	// unanswered crashes of it as well.
 	sound []Software
@@ -53,7 +55,8 @@
 	return n
 }
 
-func (r *record) withheld() bool { return r.unanswered() >= crashesToWithhold }
+// withheld reports whether requests with the subject are withheld.
+func (r *record) withheld() bool { return r.convicted }
 
 // blames reports whether a crash that fits counts against the subject.
 func (r *record) blames(fits func(Crash) bool) bool {
@@ -69,8 +72,9 @@
 }
 
 // mayTry reports whether the verdict may be wrong or outdated for a request of a customer to servers
-// with the given software, so that one may be sent as a trial.
-func (r *record) mayTry(customer string, s Software, now time.Time) bool {
+// with the given software, so that one may be sent as a trial. The evidence is weak if another subject
+// explains all crashes.
+func (r *record) mayTry(customer string, s Software, weak bool, now time.Time) bool {
 	if now.Sub(r.triedAt) < trialInterval {
 		return false
 	}
@@ -82,7 +86,7 @@
 	}
 	otherSoftware := !r.blames(func(c Crash) bool { return c.Software == s })
 	otherCustomer := !r.blames(func(c Crash) bool { return c.Customer == customer }) && r.customers() == 1
-	return otherSoftware || otherCustomer
+	return otherSoftware || otherCustomer || weak
 }
 
 // customers returns the number of customers whose requests were in unanswered crashes.
--- a/quarantine/stored.go
+++ b/quarantine/stored.go
@@ -97,6 +97,7 @@
 	for _, s := range v.Sound {
 		l.update(subject, rec, "store", func() bool { return rec.addSound(s) })
 	}
+	l.judge(subject, rec, crashesToWithhold, "store")
 	rec.trials = max(rec.trials, v.Trials)
 	rec.seenAt = now
 	return nil
