Withhold a request under which servers crash as a whole

The cause is that of the crashing prompt parts: what crashes servers was known to no two daemons together. The log line of the stand-in has the same customer, path and body hash in all crashes.

The hash of customer, target and body is one more subject of the quarantine, with the same rules: three crashes without an answer, and no more is sent by any daemon. A lookup that many send in the same words is cleared by its answers.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -24,12 +24,21 @@
 	maxCrashes = 2
 )
 
-var errWithheld = errors.New("request is withheld because servers crash under requests with a part that it has")
+var errWithheld = errors.New("request is withheld because servers crash under it or others like it")
 
 // suspect returns what decides whether the request is withheld. The last part of a prompt belongs to
-// the request alone.
+// the request alone. The result is computed once, because it needs a hash of the body.
 func (q *request) suspect() quarantine.Request {
+	if q.suspectOf == nil {
+		r := q.newSuspect()
+		q.suspectOf = &r
+	}
+	return *q.suspectOf
+}
+
+func (q *request) newSuspect() quarantine.Request {
 	r := quarantine.Request{Customer: q.customer}
+	r.Subjects = append(r.Subjects, quarantine.RequestSubject(q.customer, q.in.Target, q.in.Body))
 	for _, p := range q.meta.Prompt[:max(0, len(q.meta.Prompt)-1)] {
 		r.Subjects = append(r.Subjects, quarantine.Subject{Kind: quarantine.PromptPart, Hash: p.Hash})
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -206,6 +206,8 @@
 	stream     *eventSplitter
 	// attemptEvents is the number of events relayed in the current attempt.
 	attemptEvents int
+	// suspectOf is the result of suspect once it is known.
+	suspectOf *quarantine.Request
 	// crashes is the number of servers that ended before they had answered the request.
 	crashes int
 	// origin is where the stream began of which the caller has events, or nil if it has
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -2,7 +2,7 @@
 // together.
 //
 // A request may crash every server that begins to answer it, and so may every request that has
-// something in common with it, its subject: a part of the prompt. Daemons pool what they see.
+// something in common with it, its subject: a part of the prompt, or customer, target and body. Daemons pool what they see.
 // Each reports the crashes of servers that began to answer its own requests, with the subjects of
 // these requests, and the answers to requests with a suspected subject. A crash counts against a
 // subject until the same software answers a request with it: a subject that is in crashes by chance
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jacinththread/jacinththread/backend"
 )
 
@@ -14,6 +16,9 @@
 const (
 	// PromptPart is a part of the prompt. Its hash is that of the part's ID.
 	PromptPart Kind = 1
+	// WholeRequest is all that decides what a request does: customer, target and body. See
+	// RequestSubject.
+	WholeRequest Kind = 2
 )
 
 // Subject is something that requests have in common and that may crash servers.
@@ -22,6 +27,18 @@
 	Hash uint64
 }
 
+// RequestSubject returns the subject of requests with the same customer, target (path and query) and body.
+func RequestSubject(customer, target string, body []byte) Subject {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{customer, target} {
+		d.WriteString(s)
+		d.Write([]byte{0})
+	}
+	d.Write(body)
+	return Subject{Kind: WholeRequest, Hash: d.Sum64()}
+}
+
 // String returns the subject's kind and hash for logs.
 func (s Subject) String() string { return fmt.Sprintf("%d/%016x", s.Kind, s.Hash) }
 
