Give up responses whose head has no end

A backend server in trouble may send bytes without end. http.ReadResponse reads a status line, header lines and informational responses as long as they come, and most attempts have no timeout for the head: until the request's deadline the daemon held all of them in memory, 0.4 to 0.9 GB in 4 s at full speed on loopback.

An exchange now reads up to 64 KiB and 16 informational responses before the body, and a head that has begun must be complete after a second. The connection is closed, the server counts as failed, and the request goes to another one where that is safe.

--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxHeadBytes bounds what is read for the head of a response, including informational responses
+	// before it.
+	maxHeadBytes = 64 << 10
+	// maxInformational is the number of informational responses after which an exchange fails.
+	maxInformational = 16
+	// maxHeadTime bounds the time from the first byte of a head to its end. Servers send heads at once.
+	maxHeadTime = time.Second
+)
+
+var errHeadTooLong = errors.New("head of the response is too long")
+
+// limitedReader reads from a connection, up to a limit if one is set.
+type limitedReader struct {
+	source  io.Reader
+	limited bool
+	left    int
+}
+
+func (l *limitedReader) limit(n int) { l.limited, l.left = true, n }
+
+func (l *limitedReader) unlimit() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of the next response. The deadline of the exchange applies to the wait for its
+// first byte, and maxHeadTime to the rest.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+	latest := time.Now().Add(maxHeadTime)
+	if c.readDeadline.IsZero() || latest.Before(c.readDeadline) {
+		c.SetReadDeadline(latest)
+		defer func() { c.SetReadDeadline(c.readDeadline) }()
+	}
+	res, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() && !time.Now().Before(latest) {
+		return nil, fmt.Errorf("%w: head not complete after %v", ErrMalformed, maxHeadTime)
+	}
+	return res, err
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,9 +41,13 @@
 // Conn is a connection to a server. It carries one request at a time.
 type Conn struct {
 	net.Conn
+	// br reads from input, which reads from the connection.
 	br       *bufio.Reader
+	input    *limitedReader
 	pool     *Pool
 	instance backend.Instance
+	// readDeadline is the read deadline of the exchange, or zero.
+	readDeadline time.Time
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// serverIdleTimeout is the idle timeout that the server sent in a
@@ -95,7 +99,8 @@
 		p.dialFailures.Inc(1)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &Conn{Conn: nc, br: newReader(nc), pool: p, instance: s.Instance()}, nil
+	input := &limitedReader{source: nc}
+	return &Conn{Conn: nc, input: input, br: bufio.NewReaderSize(input, readBufferBytes), pool: p, instance: s.Instance()}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,7 +7,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -205,8 +204,10 @@
 // readResponse reads the head of the next final response and skips
 // informational ones.
 func (c *Conn) readResponse(r *Request) (*Response, error) {
-	for {
-		res, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+	c.input.limit(maxHeadBytes)
+	defer c.input.unlimit()
+	for range maxInformational {
+		res, err := c.readHead(r.Method)
 		if err != nil {
 			return nil, readError(err)
 		}
@@ -214,6 +215,7 @@
 			return c.newResponse(res)
 		}
 	}
+	return nil, fmt.Errorf("%w: %d informational responses", ErrMalformed, maxInformational)
 }
 
 // readError wraps errors of the HTTP parser with ErrMalformed. Errors of the
@@ -257,11 +259,11 @@
 // setReadTimeout sets the read deadline to the given time from now; zero
 // removes it.
 func (c *Conn) setReadTimeout(timeout time.Duration) {
-	var deadline time.Time
+	c.readDeadline = time.Time{}
 	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
+		c.readDeadline = time.Now().Add(timeout)
 	}
-	c.SetReadDeadline(deadline)
+	c.SetReadDeadline(c.readDeadline)
 }
 
 // SetReadTimeout sets the deadline for reads of the body to the given time from
@@ -321,5 +323,3 @@
 	// maxDrainBytes is the longest body that is drained.
 	maxDrainBytes = 16 << 10
 )
-
-func newReader(c net.Conn) *bufio.Reader { return bufio.NewReaderSize(c, readBufferBytes) }
