Give up responses whose body has no end

Bytes without end may come in a body as well. The body of an error response was passed on to the caller until the deadline, at any speed; a piece of an event that grew slowly kept a resumable stream waiting, because every read began the timeout anew; a success without a length had no bound.

An error response without a length is given up beyond 256 KiB or a second, a success beyond 64 MiB, and the timeout between two events begins with the last whole event. The connection is closed, the server counts as failed, and the request goes to another one where that is safe.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -20,6 +20,13 @@
 // retried or replaced by an error response.
 const maxBufferedBytes = 256 << 10
 
+const (
+	// maxUnsizedBytes is the longest body without a stated length that is relayed.
+	maxUnsizedBytes = 64 << 20
+	// maxErrorBodyTime bounds the time in which the body of an error response is read.
+	maxErrorBodyTime = time.Second
+)
+
 // hopByHop lists the header fields that are not forwarded because they apply to
 // a single connection.
 var hopByHop = []string{
@@ -45,6 +52,7 @@
 var (
 	errUnverified   = errors.New("server's success lacks its signature or its own bytes")
 	errServerFailed = errors.New("server failed the request")
+	errBodyTooLong  = errors.New("body without a stated length is too long")
 )
 
 // relay relays the response of an attempt to the caller. It returns true if the
@@ -52,7 +60,7 @@
 func (q *request) relay(ctx context.Context, res attemptResult) (retry bool) {
 	resp := res.response
 	q.attempts++
-	if resp.Status < http.StatusMultipleChoices && !q.cfg.HeaderCodec.IsAuthentic(resp.Header) {
+	if isSuccess(resp) && !q.cfg.HeaderCodec.IsAuthentic(resp.Header) {
 		resp.Close()
 		return q.retryOrGiveUp(ctx, res, errUnverified)
 	}
@@ -66,6 +74,8 @@
 	return q.relayPlain(ctx, res)
 }
 
+func isSuccess(resp *upstream.Response) bool { return resp.Status < http.StatusMultipleChoices }
+
 // isEventStream reports whether a response is a stream of server-sent events.
 func isEventStream(resp *upstream.Response) bool {
 	return resp.Status == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
@@ -97,6 +107,9 @@
 func (q *request) relayPlain(ctx context.Context, res attemptResult) (retry bool) {
 	resp := res.response
 	res.inFlight.RecordProgress(time.Now())
+	if !isSuccess(resp) {
+		resp.SetReadTimeout(maxErrorBodyTime)
+	}
 	if resp.Framing == upstream.Sized && resp.Length > maxBufferedBytes {
 		return q.relayUnbuffered(res, nil)
 	}
@@ -106,6 +119,10 @@
 		resp.Close()
 		return q.retryOrGiveUp(ctx, res, fmt.Errorf("answer broke off: %w", err))
 	}
+	if body.Len() > maxBufferedBytes && !isSuccess(resp) {
+		resp.Close()
+		return q.retryOrGiveUp(ctx, res, errBodyTooLong)
+	}
 	if body.Len() > maxBufferedBytes {
 		return q.relayUnbuffered(res, body.Bytes())
 	}
@@ -149,7 +166,7 @@
 		return
 	}
 	q.outcome, q.status = answered, resp.Status
-	if resp.Status < http.StatusMultipleChoices {
+	if isSuccess(resp) {
 		q.recordAnswered(res.inFlight.Server)
 	}
 	q.recordRelayed(time.Now())
@@ -183,7 +200,14 @@
 func (q *request) relayUnbuffered(res attemptResult, first []byte) (retry bool) {
 	resp := res.response
 	q.w.WriteHead(resp.Status, withoutHopByHop(resp.Header), framingOf(resp), resp.Length)
-	_, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(first), resp))
+	body := io.MultiReader(bytes.NewReader(first), resp)
+	if resp.Framing != upstream.Sized {
+		body = io.LimitReader(body, maxUnsizedBytes+1)
+	}
+	n, err := io.Copy(q.w, body)
+	if err == nil && resp.Framing != upstream.Sized && n > maxUnsizedBytes {
+		err = errBodyTooLong
+	}
 	if err == nil {
 		err = q.w.End()
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -126,8 +126,8 @@
 // copyEvents relays the events of one server until the stream ends.
 func (q *request) copyEvents(res attemptResult) error {
 	buf := make([]byte, streamReadBytes)
+	res.response.SetReadTimeout(q.gapTimeout())
 	for {
-		res.response.SetReadTimeout(q.gapTimeout())
 		n, err := res.response.Read(buf)
 		if n > 0 {
 			if err := q.relayEvents(res, buf[:n]); err != nil {
@@ -146,7 +146,7 @@
 	}
 }
 
-// gapTimeout returns how long the server may send nothing: the response timeout
+// gapTimeout returns how long the server may send no event: the response timeout
 // before the first event and a multiple of the gap target afterwards. Zero
 // means no limit, for streams that cannot be resumed at another server.
 func (q *request) gapTimeout() time.Duration {
@@ -193,6 +193,7 @@
 	}
 	q.stream.discard(len(complete))
 	q.recordRelayed(time.Now())
+	resp.SetReadTimeout(q.gapTimeout())
 	return nil
 }
 
