Resume a stalled stream also when one attempt is left

A server that falls silent in the middle of a stream was waited out until the deadline on routes with two attempts: gapTimeout asked for the attempts after the next one, because the running attempt is counted already when its stream is relayed. Only routes with three attempts resumed a stalled stream, and only once.

TestStalledStreamIsResumedAtTheLastAttempt failed before (broken off after 5 s).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -142,6 +142,11 @@
 	if !q.route.Repeatable() || q.attempts+1 >= q.route.MaxAttempts {
 		return 0
 	}
+	return q.firstByteTimeout()
+}
+
+// firstByteTimeout returns how long a request that can be retried waits for the first byte of a response.
+func (q *request) firstByteTimeout() time.Duration {
 	return max(minReadTimeout, responseTimeoutFactor*q.route.Target)
 }
 
@@ -164,7 +169,7 @@
 func (q *request) placementResult(ctx context.Context, err error) placement.Result {
 	leftByCaller := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
 	switch {
-	case leftByCaller && time.Since(q.sentAt) > max(minReadTimeout, responseTimeoutFactor*q.route.Target):
+	case leftByCaller && time.Since(q.sentAt) > q.firstByteTimeout():
 		return placement.Failed
 	case leftByCaller:
 		return placement.Abandoned
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -40,7 +40,7 @@
 var patientRoutes = []route.Route{
 	{Name: "repeatable", Prefix: "/repeatable/", Kind: route.Idempotent, Timeout: 10 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 2},
 	{Name: "once", Prefix: "/once/", Kind: route.NonIdempotent, Timeout: 10 * time.Second, Target: 100 * time.Millisecond, MaxAttempts: 1},
-	{Name: "resumable", Prefix: "/resumable/", Kind: route.Streaming, Resumable: true, Timeout: 10 * time.Second, Target: 100 * time.Millisecond, GapTarget: 50 * time.Millisecond, MaxAttempts: 3},
+	{Name: "resumable", Prefix: "/resumable/", Kind: route.Streaming, Resumable: true, Timeout: 10 * time.Second, Target: 100 * time.Millisecond, GapTarget: 50 * time.Millisecond, MaxAttempts: 2},
 }
 
 // It guards against bodies without end that run until the deadline of the request.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -150,9 +150,11 @@
 // before the first event and a multiple of the gap target afterwards. Zero
 // means no limit, for streams that cannot be resumed at another server.
 func (q *request) gapTimeout() time.Duration {
-	timeout := q.responseTimeout()
-	if timeout == 0 || !q.stream.hasID {
-		return timeout
+	if !q.route.Repeatable() || q.attempts >= q.route.MaxAttempts {
+		return 0
+	}
+	if !q.stream.hasID {
+		return q.firstByteTimeout()
 	}
 	return max(minReadTimeout, gapTimeoutFactor*q.route.GapTarget)
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// It guards against a stall that is waited out although the route allows one more attempt.
+func TestStalledStreamIsResumedAtTheLastAttempt(t *testing.T) {
+	r := resumeRoute
+	r.MaxAttempts = 2
+	d := newDeployment(t, r)
+	d.addServer("a", streams(eventCount, 5, stall))
+	d.addServer("b", streams(eventCount, 0, nil))
+	d.start()
+	for i := range 4 {
+		got := d.send("POST", "/resume/", fmt.Sprint("r", i))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, eventsFrom(1, eventCount))
+	}
+}
+
 // TestResumedStreamsHaveEachEventOnce cuts streams at random events. Callers
 // must receive the events in order and without duplicates or omissions, and a
 // complete response must have all of them.
