Let connections that are made while the port closes be answered

internal/drainlisten first makes the kernel drop new connection requests: IP_MINTTL (IPV6_MINHOPCOUNT) above what any packet has left drops them without an answer, while handshakes that have begun go on. 50 ms later it accepts what waits and closes the port. A caller whose request was dropped repeats it after a second and is refused. Accepted connections inherit the option and get it set back. Go's listeners are Multipath TCP by default, and such sockets refuse the option; that is switched off. Where the option can't be set, the port closes as before. A filter for connection requests was weighed: the option needs no program and none of its mistakes.

Both daemons had their own copy of accepting the backlog; they use the package now. Their stops still come one after the other, but don't wait for the callers of the stop before, who repeat their connection request after a second.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/jacinththread/jacinththread/gateway"
+	"github.com/jacinththread/jacinththread/internal/drainlisten"
 	"github.com/jacinththread/jacinththread/kernel"
 	"github.com/jacinththread/jacinththread/membership"
 )
@@ -36,7 +37,7 @@
 	ttl time.Duration
 	log *log.Logger
 
-	listener *drainListener
+	listener *drainlisten.Listener
 	conns    *connTracker
 	// served is closed when the server has stopped accepting connections.
 	served chan struct{}
@@ -70,17 +71,17 @@
 }
 
 // Start implements kernel.Service.
-func (c *callerServer) Start(context.Context) (err error) {
-	c.listener, c.served, err = serve(c.server, c.addr, c.log)
+func (c *callerServer) Start(ctx context.Context) (err error) {
+	c.listener, c.served, err = serve(ctx, c.server, c.addr, c.log)
 	return err
 }
 
 // serve listens on addr and runs the server in the background. The channel is
 // closed when the server has stopped accepting connections.
-func serve(server *http.Server, addr string, logger *log.Logger) (*drainListener, chan struct{}, error) {
-	ln, err := listen(addr)
+func serve(ctx context.Context, server *http.Server, addr string, logger *log.Logger) (*drainlisten.Listener, chan struct{}, error) {
+	ln, err := drainlisten.Listen(ctx, addr)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, trace.Wrap(err, "listening on %s", addr)
 	}
 	served := make(chan struct{})
 	go func() {
@@ -120,9 +121,7 @@
 // drain closes the port and returns when every request that has reached it has
 // had its response.
 func (c *callerServer) drain(ctx context.Context) error {
-	if err := c.listener.Drain(); err != nil {
-		return trace.Wrap(err)
-	}
+	c.listener.Drain()
 	<-c.served
 	c.server.SetKeepAlivesEnabled(false)
 	if err := c.conns.waitIdle(ctx); err != nil {
--- a/daemon/listener_test.go
+++ b/daemon/listener_test.go
@@ -4,21 +4,19 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/jacinththread/jacinththread/internal/drainlisten"
 	"github.com/jacinththread/jacinththread/internal/proctest"
 )
 
 // Connections in the accept backlog when the listener is drained are served,
 // because their callers may have sent requests already.
 func TestDrainServesWaitingConnections(t *testing.T) {
-	ln, err := listen("127.0.0.1:0")
+	ln, err := drainlisten.Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	var waiting []net.Conn
 	for range 20 {
@@ -50,19 +48,17 @@
 }
 
 func TestServeReportsAnAddressInUse(t *testing.T) {
-	ln, err := listen("127.0.0.1:0")
+	ln, err := drainlisten.Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer ln.Close()
-	_, _, err = serve(&http.Server{}, ln.Addr().String(), log.New(io.Discard))
+	_, _, err = serve(t.Context(), &http.Server{}, ln.Addr().String(), log.New(io.Discard))
 	assert.ErrorContains(t, err, "address already in use")
 }
 
 // It guards against connections that are reset because they are made while the port closes.
 func TestDrainResetsNoConnectionMadeWhileThePortCloses(t *testing.T) {
-	const rounds, callers = 150, 8
-	lost := atomic.Int32{}
-	for range rounds {
-		ln, err := listen("127.0.0.1:0")
+	proctest.CheckStops(t, func(t *testing.T) (addr string, stop func()) {
+		ln, err := drainlisten.Listen(t.Context(), "127.0.0.1:0")
 		assert.NilError(t, err)
 		conns := newConnTracker()
 		server := &http.Server{ConnState: conns.onStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -74,13 +70,6 @@
 			defer close(served)
 			_ = server.Serve(ln)
 		}()
-		var all sync.WaitGroup
-		for range callers {
-			all.Go(func() { lost.Add(int32(proctest.CallUntilRefused(ln.Addr().String()))) })
-		}
-		time.Sleep(3 * time.Millisecond)
-		assert.NilError(t, c.drain(t.Context()))
-		all.Wait()
-	}
-	assert.Equal(t, lost.Load(), int32(0), "connections without a response in %d stops", rounds)
+		return ln.Addr().String(), func() { assert.NilError(t, c.drain(t.Context())) }
+	})
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -64,8 +64,8 @@
 }
 
 // Start implements kernel.Service.
-func (o *operatorServer) Start(context.Context) error {
-	_, _, err := serve(o.server, o.addr, o.log)
+func (o *operatorServer) Start(ctx context.Context) error {
+	_, _, err := serve(ctx, o.server, o.addr, o.log)
 	return err
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/jacinththread/jacinththread/internal/defaults"
+	"github.com/jacinththread/jacinththread/internal/drainlisten"
 )
 
 // Limits bounds the size and the duration of requests. A zero value means the
@@ -70,7 +70,7 @@
 // Server accepts connections from callers and passes their requests to a Handler.
 type Server struct {
 	cfg      Config
-	listener net.Listener
+	listener *drainlisten.Listener
 	// accepting tracks the goroutine that accepts connections.
 	accepting sync.WaitGroup
 	// stopping makes each connection close after its next response.
@@ -98,8 +98,7 @@
 
 // Start implements kernel.Service.
 func (s *Server) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", s.cfg.Addr)
+	l, err := drainlisten.Listen(ctx, s.cfg.Addr)
 	if err != nil {
 		return err
 	}
@@ -115,12 +114,11 @@
 // has run out of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// accept serves incoming connections until the listener is closed or its deadline
-// passes.
+// accept serves incoming connections until the listener is closed.
 func (s *Server) accept() {
 	for {
 		nc, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
@@ -196,31 +194,14 @@
 // response.
 func (s *Server) CloseAfterResponses() { s.stopping.Store(true) }
 
-// StopAccepting accepts the connections in the listen backlog and closes the
-// listener. It also makes each connection close after its next response. Closing the
-// listener at once would reset connections in the backlog, although their callers may
-// have sent requests.
+// StopAccepting accepts the connections that wait or are being made and closes the listener. It also
+// makes each connection close after its next response.
 func (s *Server) StopAccepting() {
 	s.stopping.Store(true)
-	if l, ok := s.listener.(*net.TCPListener); ok && l.SetDeadline(pastDeadline) == nil {
-		s.accepting.Wait()
-		s.serveBacklog(l)
-	}
-	s.listener.Close()
+	s.listener.Drain()
 	s.accepting.Wait()
 }
 
-// serveBacklog serves the connections in the listen backlog.
-func (s *Server) serveBacklog(l *net.TCPListener) {
-	conns, err := acceptBacklog(l)
-	for _, nc := range conns {
-		s.serve(nc)
-	}
-	if err != nil {
-		s.cfg.Log.Warn("accepting the listen backlog failed", "accepted", len(conns), "err", err)
-	}
-}
-
 // CloseIdle closes the idle connections and makes connections close when they
 // become idle.
 func (s *Server) CloseIdle() {
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -138,19 +137,11 @@
 
 // It guards against connections that are reset because they are made while the port closes.
 func TestNoConnectionMadeWhileThePortClosesIsReset(t *testing.T) {
-	const rounds, callers = 150, 8
-	var lost atomic.Int32
-	for range rounds {
+	proctest.CheckStops(t, func(t *testing.T) (addr string, stop func()) {
 		s := start(t, echo)
-		var all sync.WaitGroup
-		for range callers {
-			all.Go(func() { lost.Add(int32(proctest.CallUntilRefused(s.Addr()))) })
+		return s.Addr(), func() {
+			s.CloseAfterResponses()
+			s.StopAccepting()
 		}
-		time.Sleep(3 * time.Millisecond)
-		s.CloseAfterResponses()
-		s.StopAccepting()
-		all.Wait()
-		assert.NilError(t, s.Stop(t.Context()))
-	}
-	assert.Equal(t, lost.Load(), int32(0), "connections without a response in %d stops", rounds)
+	})
 }
--- a/internal/proctest/calls.go
+++ b/internal/proctest/calls.go
@@ -3,7 +3,12 @@
 import (
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // connectTimeout limits the wait for a connection.
@@ -25,3 +30,32 @@
 		}
 	}
 }
+
+const (
+	// stops is the number of stops that CheckStops makes, callersPerStop the number of callers that call
+	// in a loop during each.
+	stops          = 150
+	callersPerStop = 8
+	// callsBeforeStop is how long callers call before the stop.
+	callsBeforeStop = 3 * time.Millisecond
+)
+
+// CheckStops checks that no connection that is made while a server stops is left without a response. The
+// function start starts a server and returns its address and what stops it. The stops don't overlap, but a
+// stop doesn't wait for the callers of the one before: a caller whose connection request is dropped
+// repeats it after a second.
+func CheckStops(t *testing.T, start func(*testing.T) (addr string, stop func())) {
+	t.Helper()
+	var lost atomic.Int32
+	var callers sync.WaitGroup
+	for range stops {
+		addr, stop := start(t)
+		for range callersPerStop {
+			callers.Go(func() { lost.Add(int32(CallUntilRefused(addr))) })
+		}
+		time.Sleep(callsBeforeStop)
+		stop()
+	}
+	callers.Wait()
+	assert.Equal(t, lost.Load(), int32(0), "connections without a response in %d stops", stops)
+}
