Set the option for packets back on every connection of a drained listener

A play of TestDrainResetsNoConnectionMadeWhileThePortCloses beside other tests lost 2 connections in 150 stops and took 161 s: a connection that was accepted between setting the option on the listener and noting that it is set kept it, so that its packets were dropped. The note comes first now.

--- a/internal/drainlisten/listener.go
+++ b/internal/drainlisten/listener.go
@@ -23,7 +23,7 @@
 // Listener is a TCP listener that can be drained.
 type Listener struct {
 	*net.TCPListener
-	// dropping is set while new connection requests are dropped.
+	// dropping is set while new connection requests may be dropped.
 	dropping atomic.Bool
 	// draining is set when the connections that wait are the last ones.
 	draining atomic.Bool
@@ -61,11 +61,12 @@
 // Drain makes Accept return net.ErrClosed when no connection is left, settleTime from now if new
 // connection requests can be dropped until then, and otherwise at once. It doesn't wait for that.
 func (l *Listener) Drain() {
+	// Connections have the option of their listener from the moment at which it is set.
+	l.dropping.Store(true)
 	if !l.dropRequests() {
 		l.acceptLast()
 		return
 	}
-	l.dropping.Store(true)
 	time.AfterFunc(settleTime, l.acceptLast)
 }
 
