Withhold requests under which servers crash on the product's own path too

The gateway had the same fault as the entry daemon: a completion or a call that crashes the servers that run it was sent on by each daemon, and the retries of one request ended up to five engines.

It uses the same quarantine: a response that ended early, whose server refuses connections, is a crash; from three on, requests with the same customer, path and body get 503 with the code withheld and no Retry-After. A request under which two servers ended is not sent again. Servers of the host list have no process identity, so crashes of one server within two seconds count as one. Verdicts are not stored on this path.

--- a/daemon/modules.go
+++ b/daemon/modules.go
@@ -23,6 +23,7 @@
 	reservationName = "reservation"
 	dispatchName    = "dispatch"
 	claimsName      = "claims"
+	quarantineName  = "quarantine"
 	gatewayName     = "gateway"
 	callersName     = "callers.http"
 	operatorsName   = "operators.http"
@@ -62,9 +63,10 @@
 		{Name: reservationName, Requires: []string{peerName, membershipName, bundleName}, New: b.newReservation},
 		{Name: dispatchName, New: b.newDispatch},
 		{Name: claimsName, Requires: []string{platformName, membershipName, bundleName}, New: b.newClaims},
+		{Name: quarantineName, Requires: []string{peerName, membershipName}, New: b.newQuarantine},
 		{
 			Name:     gatewayName,
-			Requires: []string{membershipName, bundleName, schedulerName, reservationName, dispatchName, claimsName},
+			Requires: []string{membershipName, bundleName, schedulerName, reservationName, dispatchName, claimsName, quarantineName},
 			New:      b.newGateway,
 		},
 		{Name: reportName, Requires: []string{membershipName, bundleName, gatewayName}, New: b.newReport},
--- a/daemon/routing.go
+++ b/daemon/routing.go
@@ -182,6 +182,7 @@
 	manager := find[reservationService](&f, reservationName)
 	backends := find[dispatchService](&f, dispatchName)
 	claimer := find[*claims.Service](&f, claimsName)
+	withheld := find[*quarantineService](&f, quarantineName)
 	if f.err != nil {
 		return nil, f.err
 	}
@@ -193,6 +194,7 @@
 		Reservations:   manager.Manager,
 		Backends:       backends.Client,
 		Claims:         claimer,
+		Quarantine:     withheld.list,
 		Limits:         limits,
 		EntryDirectory: entrydir.New(m, limits.EntryCount, ttl),
 		Log:            b.log,
--- a/gateway/completion_run.go
+++ b/gateway/completion_run.go
@@ -121,8 +121,11 @@
 func (r *completionRun) retryable(err error, dispatches int) bool {
 	var refused *reservation.Refusal
 	var status *dispatch.StatusError
+	var final *Error
 	switch {
-	case errors.As(err, &refused) || dispatches >= maxDispatches:
+	case errors.As(err, &refused) || errors.As(err, &final):
+		return false
+	case dispatches >= maxDispatches || r.req.crashes >= maxCrashes:
 		return false
 	case r.offset > 0 && !r.completion.resumable:
 		return false
@@ -138,9 +141,12 @@
 func (r *completionRun) finalError(err error) *Error {
 	var refused *reservation.Refusal
 	var status *dispatch.StatusError
+	var final *Error
 	switch {
 	case errors.As(err, &refused):
 		return refusalError(refused)
+	case errors.As(err, &final):
+		return final
 	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
 		return &Error{Status: status.Status, Code: "engine_rejected", Message: string(status.Body)}
 	}
@@ -174,6 +180,7 @@
 		return err
 	}
 	report, err := r.dispatch(ctx, slot)
+	r.gateway.observeAttempt(ctx, r.req, slot.Server, report.Tokens, err)
 	report.Outcome = attemptOutcome(ctx, err)
 	slot.Done(report)
 	if err != nil {
@@ -225,8 +232,12 @@
 	return false
 }
 
-// acquire waits for a slot and records the wait as a span.
+// acquire waits for a slot and records the wait as a span. It returns errWithheld for a request that may not
+// be sent.
 func (g *Gateway) acquire(ctx context.Context, req *request, spec reservation.Spec) (*reservation.Slot, error) {
+	if err := g.checkCrashes(ctx, req, spec.Pool.Service); err != nil {
+		return nil, err
+	}
 	ctx, span := g.cfg.Tracer.Start(ctx, "reservation")
 	defer span.End()
 	if span.SpanContext().IsSampled() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/jacinththread/jacinththread/claims"
 	"github.com/jacinththread/jacinththread/dispatch"
 	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/settings"
 )
@@ -29,6 +30,7 @@
 	Reservations *reservation.Manager
 	Backends     *dispatch.Client
 	Claims       claims.Claimer
+	Quarantine   *quarantine.List
 	Limits       settings.Callers
 	// EntryDirectory serves the addresses of live daemons.
 	EntryDirectory http.Handler
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/jacinththread/jacinththread/internal/standin/plain"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/peer/peertest"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/scheduler"
 	"github.com/jacinththread/jacinththread/settings"
@@ -185,12 +186,15 @@
 	h.reservations = reservation.NewManager(reservation.Config{
 		Bus: network.Bus("g"), View: h.view, Bundles: bundles, SchedulersPerRequest: 3, Seed: 1, Metrics: h.metrics,
 	})
+	withheld := quarantine.New("g", func(uint64) string { return "g" }, logger, h.metrics)
+	withheld.MarkSynced()
 	h.gateway = New(Config{
 		Bundles:        bundles,
 		View:           h.view,
 		Reservations:   h.reservations,
 		Backends:       dispatch.New(dispatch.Config{MaxProgressTimeout: 2 * time.Second, Metrics: h.metrics}),
 		Claims:         claimer,
+		Quarantine:     withheld,
 		Limits:         settings.Callers{MaxBodyBytes: 1 << 16, ReadTimeoutMs: 5000},
 		EntryDirectory: http.NotFoundHandler(),
 		Log:            logger,
--- a/gateway/plainservice.go
+++ b/gateway/plainservice.go
@@ -127,7 +127,7 @@
 		if notRun && !errors.Is(err, dispatch.ErrBusy) {
 			req.runState = previous
 		}
-		if n >= maxDispatches || !notRun && !g.retryBudgets.spend(req.class) {
+		if n >= maxDispatches || req.crashes >= maxCrashes || !notRun && !g.retryBudgets.spend(req.class) {
 			return callError(err)
 		}
 		g.metrics.retried.Inc(1)
@@ -144,6 +144,7 @@
 	start := time.Now()
 	resp, err := g.cfg.Backends.Do(ctx, slot.Server, call)
 	slot.Done(reservation.Report{Outcome: attemptOutcome(ctx, err), FirstToken: time.Since(start)})
+	g.observeAttempt(ctx, req, slot.Server, 0, err)
 	if errors.Is(err, dispatch.ErrDraining) {
 		g.cfg.View.ReportLeaving(slot.Server.Name)
 	}
@@ -159,6 +160,10 @@
 	if errors.As(err, &refused) {
 		return refusalError(refused)
 	}
+	var final *Error
+	if errors.As(err, &final) {
+		return final
+	}
 	if dispatch.NotRun(err) {
 		return &Error{
 			Status: http.StatusServiceUnavailable, Code: "no_server",
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/jacinththread/jacinththread/bundle"
+	"github.com/jacinththread/jacinththread/quarantine"
 	"github.com/jacinththread/jacinththread/reservation"
 	"github.com/jacinththread/jacinththread/telemetry"
 )
@@ -45,6 +46,11 @@
 	idempotencyKey string
 	body           []byte
 
+	// subjects are what the request has in common with others under which servers may crash.
+	subjects []quarantine.Subject
+	// crashes is the number of servers that ended before they had answered the request.
+	crashes int
+
 	// runState is the run state that an error response reports.
 	runState RunState
 	// responseStarted is set once a part of the response was written.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -105,7 +105,7 @@
 func (r *record) add(c Crash) bool {
 	for i := range r.crashes {
 		known := &r.crashes[i]
-		if known.Server != c.Server {
+		if !known.same(c) {
 			continue
 		}
 		changed := c.Answered && !known.Answered
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -64,6 +64,23 @@
 
 func (r *Request) subjects() []Subject { return r.Subjects[:min(maxSubjects, len(r.Subjects))] }
 
+// processTime is the time within which crashes of one server without a known start are the same.
+const processTime = 2 * time.Second
+
+// NewCrash returns the crash of a server whose processes have no identity. Two crashes of such a server
+// are told apart by their times.
+func NewCrash(server string, s Software, customer string, at time.Time) Crash {
+	return Crash{Server: backend.Instance{ID: server}, Software: s, Customer: customer, At: at}
+}
+
+// same reports whether two crashes are of the same process.
+func (c Crash) same(other Crash) bool {
+	if c.Server != other.Server {
+		return false
+	}
+	return c.Server.Started != 0 || c.At.Sub(other.At).Abs() < processTime
+}
+
 // Crash is the end of a server's process before it had answered a request.
 type Crash struct {
 	Server   backend.Instance
--- a/quarantine/verdicts.go
+++ b/quarantine/verdicts.go
@@ -50,7 +50,7 @@
 
 // has reports whether an unanswered crash under the subject is the same as c.
 func (r *record) has(c Crash) bool {
-	return r.blames(func(own Crash) bool { return own.Server == c.Server })
+	return r.blames(func(own Crash) bool { return own.same(c) })
 }
 
 // maxJudgeRounds bounds the rounds in which verdicts that depend on each other are judged again.
--- a/upstream/ended.go
+++ b/upstream/ended.go
@@ -23,14 +23,19 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// HasEnded is HasEnded for a server of the pool.
+func (p *Pool) HasEnded(ctx context.Context, s *backend.Server) bool {
+	p.endChecks.Inc(1)
+	return HasEnded(ctx, s.Addr)
+}
+
 // HasEnded reports whether the process of a server that just broke a connection has ended: its
 // host answers, and nothing listens at the server's address. It returns false for a server
 // that accepts connections and for a host that can't be reached.
-func (p *Pool) HasEnded(ctx context.Context, s *backend.Server) bool {
+func HasEnded(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedTimeout)
 	defer cancel()
-	p.endChecks.Inc(1)
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", s.Addr)
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
