--- a/gateway/completion_run.go
+++ b/gateway/completion_run.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	req.suspectMessages(c.params.Messages)
 	pool := req.active.PoolOfModel(c.params.Model)
 	if pool == nil {
 		return badRequest("unknown_model", "model %q is not served", c.params.Model)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/jacinththread/jacinththread/dispatch"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/jacinththread/jacinththread/quarantine"
@@ -41,6 +43,15 @@
 	return quarantine.Request{Subjects: r.subjects, Customer: r.customerName()}
 }
 
+// suspectMessages adds the messages of a chat that other requests may have as well: all but the last one.
+func (r *request) suspectMessages(messages []message) {
+	r.subjects = r.suspect().Subjects
+	for _, m := range messages[:max(0, len(messages)-1)] {
+		hash := xxhash.Sum64String(m.Role + "\x00" + string(m.Content))
+		r.subjects = append(r.subjects, quarantine.Subject{Kind: quarantine.PromptPart, Hash: hash})
+	}
+}
+
 // checkCrashes returns errWithheld or errServersCrashed if the request may not be sent to servers of a service.
 func (g *Gateway) checkCrashes(ctx context.Context, req *request, service string) error {
 	g.cfg.Quarantine.AwaitSync(ctx)
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -53,6 +53,15 @@
 	assert.Equal(t, got.header.Get("Retry-After"), "")
 }
 
+// It guards against messages that end one server after the other in chats that are otherwise different.
+func TestChatsWithAMessageThatEndsServersAreWithheld(t *testing.T) {
+	h, reached := newEndingHarness(t, "llm")
+	for i := range 6 {
+		h.chat(fmt.Sprintf(`{"model":"m","stream":true,"messages":[{"role":"system","content":"bad"},{"role":"user","content":"%d"}]}`, i))
+	}
+	assert.Assert(t, reached.Load() <= 4, "%d servers ended", reached.Load())
+}
+
 // It guards against a call of a plain service that ends one server after the other.
 func TestRepeatedCallThatEndsServersIsWithheld(t *testing.T) {
 	for name, header := range map[string][]string{"repeatable": nil, "at most once": {HeaderIdempotency, "key"}} {
