--- a/cmd/jacinththread-entry/main.go
+++ b/cmd/jacinththread-entry/main.go
@@ -97,7 +97,7 @@
 		return s, nil
 	}
 	return entry.Adapter{
-		Source: kv, Registry: kv, Verdicts: kv, Decoder: platform.Records{}, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
+		Source: kv, Registry: kv, Blocks: kv, Decoder: platform.Records{}, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
 		DirectoryPath: platform.DirectoryPath, ReadyPath: platform.ReadyPath,
 		DirectoryBody: platform.HeaderCodec{}.Directory,
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,7 +68,7 @@
 	d.current.Store(s)
 	d.catalog = backend.NewCatalog(d.log)
 	d.quarantine = quarantine.New(s.Peers, func(hash uint64) string { return d.fleet.Ring().Owner(hash) }, d.log, d.metrics)
-	d.records = &records{decoder: a.Decoder, catalog: d.catalog, onConfig: d.announceConfig, onVerdict: d.quarantine.Restore, log: d.log}
+	d.records = &records{decoder: a.Decoder, catalog: d.catalog, onConfig: d.announceConfig, onBlock: d.quarantine.Restore, log: d.log}
 	d.copy = mirror.NewCopy(d.records.apply, d.records.isRenewal)
 	d.pool = upstream.NewPool(d.metrics)
 	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -34,7 +34,7 @@
 	registerName     = "registration"
 	limitsName       = "ratelimit.exchange"
 	quarantineName   = "quarantine.exchange"
-	verdictsName     = "quarantine.store"
+	blocksName       = "quarantine.store"
 )
 
 const (
@@ -72,7 +72,7 @@
 		{Name: loadExchangeName, Requires: []string{peerName, membershipName}, New: d.newLoadExchange},
 		{Name: limitsName, Requires: []string{peerName, membershipName}, New: d.newLimitExchange},
 		{Name: quarantineName, Requires: []string{peerName, membershipName}, New: d.newQuarantineExchange},
-		{Name: verdictsName, Requires: []string{membershipName}, New: d.newVerdictKeeper},
+		{Name: blocksName, Requires: []string{membershipName}, New: d.newBlockKeeper},
 		{Name: followerName, Requires: []string{membershipName, exchangeName}, New: d.newFollower},
 		{Name: registerName, New: d.newRegistration},
 		{Name: upkeepName, Requires: []string{membershipName}, New: d.newUpkeep},
--- a/entry/records.go
+++ b/entry/records.go
@@ -21,9 +21,9 @@
 	table   atomic.Pointer[route.Table]
 	// onConfig is called with the version of each configuration put in force.
 	onConfig func(route.Version)
-	// onVerdict is called with the value of each verdict of the quarantine.
-	onVerdict func(value []byte, now time.Time) error
-	log       *log.Logger
+	// onBlock is called with the value of each block of the quarantine.
+	onBlock func(value []byte, now time.Time) error
+	log     *log.Logger
 }
 
 // Table returns the routing table of the configuration in force, or nil if none
@@ -40,8 +40,8 @@
 			configs = append(configs, e)
 		} else if id, ok := strings.CutPrefix(e.Key, ServersPrefix); ok {
 			servers = append(servers, r.serverChange(id, e))
-		} else if strings.HasPrefix(e.Key, VerdictsPrefix) && !e.Deleted {
-			r.applyVerdict(e)
+		} else if strings.HasPrefix(e.Key, BlocksPrefix) && !e.Deleted {
+			r.applyBlock(e)
 		}
 	}
 	r.catalog.Apply(servers, freshness(status))
@@ -89,11 +89,11 @@
 	r.log.Info("configuration in force", "version", int64(c.Version), "revision", e.Revision, "routes", routes, "keys", keys)
 }
 
-// applyVerdict applies a verdict of the quarantine. A verdict that was deleted has ended by answers,
+// applyBlock applies a block of the quarantine. A block that was deleted has ended by answers,
 // which daemons tell each other.
-func (r *records) applyVerdict(e store.Entry) {
-	if err := r.onVerdict(e.Value, time.Now()); err != nil {
-		r.log.Error("decoding a verdict failed", "key", e.Key, "revision", e.Revision, "err", err)
+func (r *records) applyBlock(e store.Entry) {
+	if err := r.onBlock(e.Value, time.Now()); err != nil {
+		r.log.Error("decoding a block failed", "key", e.Key, "revision", e.Revision, "err", err)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -57,8 +57,8 @@
 	// DaemonsPrefix is the key prefix of daemon records; the daemon's peer address
 	// follows.
 	DaemonsPrefix = "daemons/"
-	// VerdictsPrefix is the key prefix of verdicts of the quarantine; the subject's key follows.
-	VerdictsPrefix = "verdicts/"
+	// BlocksPrefix is the key prefix of blocks of the quarantine; the subject's key follows.
+	BlocksPrefix = "blocks/"
 )
 
 // Decoder decodes the values of the platform's records.
@@ -79,12 +79,12 @@
 	End(ctx context.Context, lease store.LeaseID) error
 }
 
-// VerdictStore writes the verdicts of the quarantine.
-type VerdictStore interface {
-	// PutVerdict writes the verdict with the given key.
-	PutVerdict(ctx context.Context, key string, value []byte) error
-	// DeleteVerdict deletes the verdict with the given key.
-	DeleteVerdict(ctx context.Context, key string) error
+// BlockStore writes the blocks of the quarantine.
+type BlockStore interface {
+	// PutBlock writes the block with the given key.
+	PutBlock(ctx context.Context, key string, value []byte) error
+	// DeleteBlock deletes the block with the given key.
+	DeleteBlock(ctx context.Context, key string) error
 }
 
 // Adapter connects the daemon to a platform.
@@ -92,7 +92,7 @@
 	// Source reads the platform's records.
 	Source   mirror.Source
 	Registry Registry
-	Verdicts VerdictStore
+	Blocks   BlockStore
 	Decoder  Decoder
 	// Reload loads the settings again. It may be nil.
 	Reload func() (*Settings, error)
--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// exonerate reports whether there was an answer not long before a crash or after it.
-func (a *answers) exonerate(subject Subject, c Crash) bool {
+// clears reports whether there was an answer not long before a crash or after it.
+func (a *answers) clears(subject Subject, c Crash) bool {
 	at, ok := a.last[answerKey{subject, c.Software}]
 	return ok && at.After(c.At.Add(-answerTTL))
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -2,9 +2,10 @@
 // together.
 //
 // A request may crash every server that begins to answer it, and so may every request that has
-// something in common with it, its subject: a part of the prompt, or customer, target and body. Daemons pool what they see.
-// Each reports the crashes of servers that began to answer its own requests, with the subjects of
-// these requests, and the answers to requests with a suspected subject. A crash counts against a
+// something in common with it, its subject: a part of the prompt, or customer, target and body.
+//
+// Daemons pool what they see. Each reports the crashes of servers that began to answer its own requests,
+// with the subjects of these requests, and the answers to requests with such a subject. A crash counts against a
 // subject until the same software answers a request with it: a subject that is in crashes by chance
 // is also in answers, one that causes them is not. From crashesToWithhold crashes on, requests with
 // the subject are no longer sent.
@@ -13,7 +14,7 @@
 // merged without regard to order, so parts of a fleet that were cut off from each other agree again
 // afterwards. Neither requests nor daemons add messages, only crashes do.
 //
-// A verdict ends when the software that it is about answers a request with the subject, which a
+// A block ends when the software that it is about answers a request with the subject, which a
 // request that was already running may bring about. Where it may be wrong or outdated, one
 // daemon, chosen by consistent hashing, sends one trial request: for a customer whose requests were in
 // none of the crashes, to other software than that which crashed, or after a long time without any
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -19,9 +19,9 @@
 	Hash    uint64
 	Crashes []crashReport
 	Sound   []Software
-	// Convicted is set while requests with the subject are withheld.
-	Convicted bool
-	Trials    int
+	// Blocked is set while requests with the subject are withheld.
+	Blocked bool
+	Trials  int
 	// TriedAgoMs and SeenAgoMs are the times since the last trial and since the subject was last seen,
 	// when the message was sent.
 	TriedAgoMs, SeenAgoMs int64
@@ -48,7 +48,7 @@
 
 func newReport(subject Subject, rec *record, now time.Time) report {
 	r := report{
-		Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Convicted: rec.convicted, Trials: rec.trials,
+		Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Blocked: rec.blocked, Trials: rec.trials,
 		TriedAgoMs: now.Sub(rec.triedAt).Milliseconds(), SeenAgoMs: now.Sub(rec.seenAt).Milliseconds(),
 	}
 	for _, c := range rec.crashes {
@@ -85,7 +85,7 @@
 	return out
 }
 
-// position is the place of a subject in the order of refreshes: verdicts come first.
+// position is the place of a subject in the order of refreshes: blocks come first.
 func position(subject Subject, rec *record) string {
 	if rec.withheld() {
 		return "0/" + subject.String()
@@ -130,7 +130,7 @@
 	subject := r.subject()
 	for _, c := range r.Crashes {
 		crash := c.crash(now)
-		if l.answers.exonerate(subject, crash) {
+		if l.answers.clears(subject, crash) {
 			crash.Answered = true
 		}
 		l.addCrash(subject, crash, from)
@@ -142,8 +142,8 @@
 	for _, s := range r.Sound {
 		l.update(subject, rec, from, func() bool { return rec.addSound(s) })
 	}
-	if r.Convicted && !rec.convicted {
-		l.judge(subject, rec, crashesToWithhold, from)
+	if r.Blocked && !rec.blocked {
+		l.evaluate(subject, rec, crashesToWithhold, from)
 	}
 	if r.Trials > rec.trials {
 		rec.trials, rec.triedAt, rec.roundsLeft = r.Trials, ago(now, r.TriedAgoMs), gossip.ChangeRounds
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -558,7 +558,7 @@
 }
 
 // It guards against a customer whose requests crash servers and share a part with another customer's.
-func TestSoundRequestsOfAnotherCustomerEndAVerdict(t *testing.T) {
+func TestSoundRequestsOfAnotherCustomerEndABlock(t *testing.T) {
 	forEachFleet(t, func(f *simFleet) {
 		shared := part("shared by two customers", 0)
 		o := f.offend("model", "customer-0")
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -32,26 +32,27 @@
 	// withheldCount is the number of withheld subjects.
 	withheldCount atomic.Int64
 
-	subjects, verdicts metrics.Gauge
-	withheld, trials   metrics.Counter
+	subjects, blockCount metrics.Gauge
+	withheld, trials     metrics.Counter
 
 	mu      sync.Mutex
 	records map[Subject]*record
 	answers answers
 	recent  recentCrashes
-	// convicted are the records of the withheld subjects.
-	convicted verdicts
+	// blocked are the records of the withheld subjects.
+	blocked blockedSubjects
 }
 
 // New returns an empty List of the daemon with the given name. The function owner returns the daemon
 // that owns the key with a hash, the same one at all daemons.
 func New(self string, owner func(hash uint64) string, logger *log.Logger, registry metrics.Registry) *List {
 	return &List{
-		self: self, owner: owner, log: logger, synced: gossip.NewGate(), records: map[Subject]*record{}, answers: newAnswers(), recent: recentCrashes{}, convicted: verdicts{},
-		subjects: metrics.GetOrRegisterGauge("quarantine.subjects", registry),
-		verdicts: metrics.GetOrRegisterGauge("quarantine.verdicts", registry),
-		withheld: metrics.GetOrRegisterCounter("quarantine.withheld", registry),
-		trials:   metrics.GetOrRegisterCounter("quarantine.trials", registry),
+		self: self, owner: owner, log: logger, synced: gossip.NewGate(),
+		records: map[Subject]*record{}, answers: newAnswers(), recent: recentCrashes{}, blocked: blockedSubjects{},
+		subjects:   metrics.GetOrRegisterGauge("quarantine.subjects", registry),
+		blockCount: metrics.GetOrRegisterGauge("quarantine.blocked", registry),
+		withheld:   metrics.GetOrRegisterCounter("quarantine.withheld", registry),
+		trials:     metrics.GetOrRegisterCounter("quarantine.trials", registry),
 	}
 }
 
@@ -67,7 +68,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, subject := range r.subjects() {
-		if !l.answers.exonerate(subject, c) {
+		if !l.answers.clears(subject, c) {
 			l.addCrash(subject, c, l.self)
 		}
 	}
@@ -127,7 +128,7 @@
 		if rec == nil || rec.permits(s) {
 			continue
 		}
-		if l.owner(subject.Hash) != l.self || !rec.mayTry(r.Customer, s, l.convicted.weak(subject, rec, &r), now) {
+		if l.owner(subject.Hash) != l.self || !rec.mayTry(r.Customer, s, l.blocked.weak(subject, rec, &r), now) {
 			return false
 		}
 		tried = append(tried, rec)
@@ -172,11 +173,11 @@
 	l.update(subject, rec, source, func() bool { return rec.add(c) })
 }
 
-// update makes a change to a record, and judges and spreads it. The caller must hold l.mu.
+// update makes a change to a record, and evaluates and spreads it. The caller must hold l.mu.
 func (l *List) update(subject Subject, rec *record, source string, change func() bool) {
 	if change() {
 		rec.roundsLeft = gossip.ChangeRounds
-		l.judgeNow(subject, rec, source)
+		l.evaluateNow(subject, rec, source)
 	}
 }
 
@@ -193,7 +194,7 @@
 
 // remove removes a record. The caller must hold l.mu.
 func (l *List) remove(subject Subject, rec *record) {
-	l.setVerdict(subject, rec, false)
+	l.setBlocked(subject, rec, false)
 	delete(l.records, subject)
 	l.subjects.Update(int64(len(l.records)))
 }
@@ -225,10 +226,10 @@
 // compareWorth orders records by how much is lost with them, given the number of records of each
 // customer.
 func (r *record) compareWorth(other *record, perCustomer map[string]int) int {
-	verdicts := cmp.Compare(boolToInt(r.withheld()), boolToInt(other.withheld()))
+	blocks := cmp.Compare(boolToInt(r.withheld()), boolToInt(other.withheld()))
 	customers := cmp.Compare(perCustomer[other.customer()], perCustomer[r.customer()])
 	crashes := cmp.Compare(r.unanswered(), other.unanswered())
-	return cmp.Or(verdicts, customers, crashes, r.seenAt.Compare(other.seenAt))
+	return cmp.Or(blocks, customers, crashes, r.seenAt.Compare(other.seenAt))
 }
 
 func boolToInt(b bool) int {
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -71,8 +71,8 @@
 	assert.Assert(t, !l.Permits(both, oldSoftware))
 }
 
-// It guards against verdicts by chance while many servers crash.
-func TestVerdictTakesMoreCrashesWhileManyServersCrash(t *testing.T) {
+// It guards against blocks by chance while many servers crash.
+func TestBlockTakesMoreCrashesWhileManyServersCrash(t *testing.T) {
 	l, now := newTestList(), time.Now()
 	for i := range 2 * crashesPerStep {
 		crashes(l, Request{Subjects: []Subject{part("rare", i)}, Customer: "c"}, oldSoftware, 100+i, 1, now)
@@ -96,8 +96,8 @@
 	assert.Assert(t, !l.Permits(r, oldSoftware))
 }
 
-// It guards against verdicts whose trials let one request after the other through.
-func TestTrialsOfAVerdictAreBounded(t *testing.T) {
+// It guards against blocks whose trials let one request after the other through.
+func TestTrialsOfABlockAreBounded(t *testing.T) {
 	l, now := newTestList(), time.Now()
 	r := Request{Subjects: []Subject{part("a", 1)}, Customer: "c"}
 	crashes(l, r, oldSoftware, 0, crashesToWithhold, now)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -14,24 +14,24 @@
 	maxCrashes = 16
 	// maxSound bounds the software kept that answered requests with the subject.
 	maxSound = 8
-	// maxTrials is the number of trials of a verdict, apart from those after idleTime.
+	// maxTrials is the number of trials of a block, apart from those after idleTime.
 	maxTrials = 2
 	// trialInterval is the time after a trial in which there is no other one. The result of a trial
 	// is known to all daemons by then.
 	trialInterval = 15 * time.Second
 	// idleTime is the time without requests with a withheld subject after which one is tried again.
 	idleTime = 10 * time.Minute
-	// suspicionAge is how long crashes count that are too few for a verdict, verdictAge how long a
-	// verdict is kept without requests with the subject.
+	// suspicionAge is how long crashes count that are too few for a block, blockAge how long a
+	// block is kept without requests with the subject.
 	suspicionAge = time.Hour
-	verdictAge   = 24 * time.Hour
+	blockAge     = 24 * time.Hour
 )
 
 // record is what is known of a subject.
 type record struct {
 	crashes []Crash
-	// convicted is set once there were enough unanswered crashes for a verdict.
-	convicted bool
+	// blocked is set once there were enough unanswered crashes for a block.
+	blocked bool
 	// sound is the software that answered requests with the subject. It is not sound if there are
 	// unanswered crashes of it as well.
 	sound []Software
@@ -56,10 +56,10 @@
 }
 
 // withheld reports whether requests with the subject are withheld.
-func (r *record) withheld() bool { return r.convicted }
+func (r *record) withheld() bool { return r.blocked }
 
-// blames reports whether a crash that fits counts against the subject.
-func (r *record) blames(fits func(Crash) bool) bool {
+// hasUnanswered reports whether a crash that fits counts against the subject.
+func (r *record) hasUnanswered(fits func(Crash) bool) bool {
 	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return !c.Answered && fits(c) })
 }
 
@@ -68,10 +68,10 @@
 	if !r.withheld() {
 		return true
 	}
-	return slices.Contains(r.sound, s) && !r.blames(func(c Crash) bool { return c.Software == s })
+	return slices.Contains(r.sound, s) && !r.hasUnanswered(func(c Crash) bool { return c.Software == s })
 }
 
-// mayTry reports whether the verdict may be wrong or outdated for a request of a customer to servers
+// mayTry reports whether the block may be wrong or outdated for a request of a customer to servers
 // with the given software, so that one may be sent as a trial. The evidence is weak if another subject
 // explains all crashes.
 func (r *record) mayTry(customer string, s Software, weak bool, now time.Time) bool {
@@ -84,8 +84,8 @@
 	if r.trials >= maxTrials {
 		return false
 	}
-	otherSoftware := !r.blames(func(c Crash) bool { return c.Software == s })
-	otherCustomer := !r.blames(func(c Crash) bool { return c.Customer == customer }) && r.customers() == 1
+	otherSoftware := !r.hasUnanswered(func(c Crash) bool { return c.Software == s })
+	otherCustomer := !r.hasUnanswered(func(c Crash) bool { return c.Customer == customer }) && r.customers() == 1
 	return otherSoftware || otherCustomer || weak
 }
 
@@ -152,7 +152,7 @@
 func (r *record) expired(now time.Time) bool {
 	age := suspicionAge
 	if r.withheld() {
-		age = verdictAge
+		age = blockAge
 	}
 	return now.Sub(r.seenAt) > age
 }
--- a/quarantine/stored.go
+++ b/quarantine/stored.go
@@ -10,8 +10,8 @@
 	"github.com/jacinththread/jacinththread/backend"
 )
 
-// storedVerdict is the JSON form of a verdict in the platform's store.
-type storedVerdict struct {
+// storedBlock is the JSON form of a block in the platform's store.
+type storedBlock struct {
 	Kind    Kind          `json:"kind"`
 	Hash    uint64        `json:"hash,string"`
 	Crashes []storedCrash `json:"crashes"`
@@ -29,21 +29,21 @@
 	AtMs int64 `json:"at_ms"`
 }
 
-// Key returns the key of a subject's verdict in the store.
+// Key returns the key of a subject's block in the store.
 func (s Subject) Key() string { return s.String() }
 
 // ParseKey is the inverse of Key.
 func ParseKey(key string) (Subject, error) {
 	var s Subject
 	if _, err := fmt.Sscanf(key, "%d/%x", &s.Kind, &s.Hash); err != nil {
-		return Subject{}, fmt.Errorf("key %q of a verdict: %w", key, err)
+		return Subject{}, fmt.Errorf("key %q of a block: %w", key, err)
 	}
 	return s, nil
 }
 
-// Verdicts returns the verdicts to store, by key. What changes with each withheld request is not in
+// Blocks returns the blocks to store, by key. What changes with each withheld request is not in
 // them.
-func (l *List) Verdicts() (map[string][]byte, error) {
+func (l *List) Blocks() (map[string][]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string][]byte{}
@@ -51,7 +51,7 @@
 		if !rec.withheld() {
 			continue
 		}
-		value, err := json.Marshal(newStoredVerdict(subject, rec))
+		value, err := json.Marshal(newStoredBlock(subject, rec))
 		if err != nil {
 			return nil, err
 		}
@@ -60,8 +60,8 @@
 	return out, nil
 }
 
-func newStoredVerdict(subject Subject, rec *record) storedVerdict {
-	v := storedVerdict{Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Trials: rec.trials}
+func newStoredBlock(subject Subject, rec *record) storedBlock {
+	v := storedBlock{Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Trials: rec.trials}
 	for _, c := range rec.crashes {
 		if c.Answered {
 			continue
@@ -75,9 +75,9 @@
 	return v
 }
 
-// Restore applies a verdict from the store.
+// Restore applies a block from the store.
 func (l *List) Restore(value []byte, now time.Time) error {
-	var v storedVerdict
+	var v storedBlock
 	if err := json.Unmarshal(value, &v); err != nil {
 		return err
 	}
@@ -97,11 +97,11 @@
 	for _, s := range v.Sound {
 		l.update(subject, rec, "store", func() bool { return rec.addSound(s) })
 	}
-	l.judge(subject, rec, crashesToWithhold, "store")
+	l.evaluate(subject, rec, crashesToWithhold, "store")
 	rec.trials = max(rec.trials, v.Trials)
 	rec.seenAt = now
 	return nil
 }
 
-// Owns reports whether the local daemon is the one that stores the verdict on a subject.
+// Owns reports whether the local daemon is the one that stores the block on a subject.
 func (l *List) Owns(s Subject) bool { return l.owner(s.Hash) == l.self }
