Fail a store call whose response is too long instead of parsing its beginning

A store that sends a body without end was given up only after 2.6 s (TestStoreResponseWithoutEndIsGivenUp, body fast; 2.4 s allowed): the first 8 MiB were parsed, although they can't be whole. A response beyond the limit is an error now, before it is parsed.

--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -3,6 +3,7 @@
 package httpcall
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,7 +20,9 @@
 	Body   []byte
 }
 
-// Do sends a request and reads the response body up to maxBytes. If it fails,
+var errTooLong = errors.New("response is too long")
+
+// Do sends a request and reads the response. It fails if the body is longer than maxBytes. If it fails,
 // sent reports whether a connection was obtained, in which case the request may
 // have reached the store.
 func Do(client *http.Client, req *http.Request, maxBytes int64) (resp Response, sent bool, err error) {
@@ -32,7 +35,10 @@
 		return Response{}, connected.Load(), err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBytes+1))
+	if err == nil && int64(len(body)) > maxBytes {
+		err = errTooLong
+	}
 	if err != nil {
 		return Response{}, true, fmt.Errorf("reading the response: %w", err)
 	}
