--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -62,7 +63,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDeployment(t, patientRoutes...)
+			d := newDeployment(t, slices.Clone(patientRoutes)...)
 			closed := make(chan struct{}, 10)
 			d.addServer("a", sendsWithoutEnd(test.head, test.piece, test.pause, closed))
 			if test.other != nil {
@@ -87,7 +88,7 @@
 
 // It guards against a success without length or end that is passed on until the deadline of the request.
 func TestSuccessWithoutEndIsBrokenOff(t *testing.T) {
-	d := newDeployment(t, patientRoutes...)
+	d := newDeployment(t, slices.Clone(patientRoutes)...)
 	closed := make(chan struct{}, 1)
 	d.addServer("a", sendsWithoutEnd("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\n\r\n", strings.Repeat("x", 64<<10), 0, closed))
 	d.start()
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -12,11 +12,12 @@
 	"github.com/jacinththread/jacinththread/membership"
 )
 
-// serveEnding adds servers that end when they get a request, and returns the number of requests that
-// reached one.
-func (h *harness) serveEnding(service string, servers int) *atomic.Int32 {
+// serveEnding replaces all servers by servers that end when they get a request, and returns the number of
+// requests that reached one.
+func (h *harness) serveEnding(service string, count int) *atomic.Int32 {
 	var reached atomic.Int32
-	for i := range servers {
+	var servers []membership.Server
+	for i := range count {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(h.t, err)
 		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -26,18 +27,16 @@
 		})}
 		go server.Serve(l)
 		h.t.Cleanup(func() { server.Close() })
-		h.view.servers = append(h.view.servers, membership.Server{Name: fmt.Sprint("ending-", i), Service: service, Addr: l.Addr().String()})
+		servers = append(servers, membership.Server{Name: fmt.Sprint("ending-", i), Service: service, Addr: l.Addr().String()})
 	}
+	h.view.setServers(servers)
 	return &reached
 }
 
 // newEndingHarness returns a harness whose servers of one service all end under the requests that they get.
 func newEndingHarness(t *testing.T, service string) (*harness, *atomic.Int32) {
 	h := newHarness(t)
-	h.view.servers = nil
-	reached := h.serveEnding(service, 8)
-	h.view.setNoScheduler(false) // Announces the servers.
-	return h, reached
+	return h, h.serveEnding(service, 8)
 }
 
 // It guards against a completion that ends one server after the other.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -63,6 +63,15 @@
 	v.changed = make(chan struct{})
 }
 
+// setServers replaces the servers.
+func (v *fakeView) setServers(servers []membership.Server) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.servers = servers
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
 func (v *fakeView) Servers(service string) []membership.Server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
