Let any daemon send the trial of a withheld request, and bound the changes of a round

Requests of a customer that share a withheld part, though none of them was in a crash, waited until one of them reached the daemon that owns the part: with 300 daemons one in 300.

Reading it again, the messages of a round grew with the requests that a crash breaks off, up to 512 subjects. They are 64 now, those with the most crashes first.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -20,7 +20,7 @@
 func (q *request) chooseServer(ctx context.Context) *placement.InFlight {
 	for {
 		untried := q.untriedServers()
-		allowed := q.allowed(untried)
+		allowed := q.allowed(ctx, untried)
 		if len(allowed) == 0 && len(untried) > 0 {
 			q.refuseWithheld(ctx)
 			return nil
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -72,7 +72,7 @@
 
 // allowed returns the servers that the request may be sent to although servers crash under others. If
 // there is none, it may be one server for a trial.
-func (q *request) allowed(servers []*backend.Server) []*backend.Server {
+func (q *request) allowed(ctx context.Context, servers []*backend.Server) []*backend.Server {
 	suspect := q.suspect()
 	if !q.cfg.Quarantine.Withholds(suspect) {
 		return servers
@@ -87,7 +87,7 @@
 		return allowed
 	}
 	for _, s := range servers {
-		if q.cfg.Quarantine.TryOnce(suspect, quarantine.SoftwareOf(s), time.Now()) {
+		if q.cfg.Quarantine.TryOnce(ctx, suspect, quarantine.SoftwareOf(s), time.Now()) {
 			return []*backend.Server{s}
 		}
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -57,7 +57,7 @@
 	g.cfg.Quarantine.AwaitSync(ctx)
 	software := quarantine.Software{Service: service}
 	suspect := req.suspect()
-	if g.cfg.Quarantine.Permits(suspect, software) || g.cfg.Quarantine.TryOnce(suspect, software, time.Now()) {
+	if g.cfg.Quarantine.Permits(suspect, software) || g.cfg.Quarantine.TryOnce(ctx, suspect, software, time.Now()) {
 		return nil
 	}
 	subject, crashes := g.cfg.Quarantine.Withheld(suspect, time.Now())
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -46,6 +46,9 @@
 	KindServerLimits Kind = 62
 	KindQuarantine   Kind = 63
 
+	KindTrialQuestion Kind = 80
+	KindTrialReply    Kind = 81
+
 	KindStreamOrigin Kind = 72
 	KindStreamQuery  Kind = 73
 	KindStreamReply  Kind = 74
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -16,7 +16,7 @@
 //
 // A block ends when the software that it is about answers a request with the subject, which a
 // request that was already running may bring about. Where it may be wrong or outdated, one
-// daemon, chosen by consistent hashing, sends one trial request: for a customer whose requests were in
+// daemon, chosen by consistent hashing, allows one trial request: for a customer whose requests were in
 // none of the crashes, to other software than that which crashed, or after a long time without any
 // request with the subject. The number of trials is bounded as well.
 package quarantine
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -40,6 +40,7 @@
 // NewExchange returns the service that passes records on to the other daemons. The function others
 // returns the names of the other live daemons.
 func NewExchange(l *List, bus peer.Bus, others func() []string, logger *log.Logger, registry metrics.Registry) *gossip.Exchange[report] {
+	l.questions = newQuestions(l, bus)
 	return gossip.New(gossip.Config[report]{
 		Kind: peer.KindQuarantine, State: l, Bus: bus, Others: others, Synced: l.synced, Log: logger,
 		Sent: metrics.GetOrRegisterCounter("quarantine.messages", registry),
@@ -71,17 +72,32 @@
 
 func ago(now time.Time, ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 
+// maxChanges bounds the changes sent in a round. When many servers crash at once, the subjects with the most
+// crashes come first, whether answered or not.
+const maxChanges = 64
+
 // TakeChanges implements gossip.State.
 func (l *List) TakeChanges(limit int, now time.Time) []report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []report
+	var changed []Subject
 	for subject, rec := range l.records {
-		if rec.roundsLeft > 0 && len(out) < limit {
-			rec.roundsLeft--
-			out = append(out, newReport(subject, rec, now))
+		if rec.roundsLeft > 0 {
+			changed = append(changed, subject)
 		}
 	}
+	if limit = min(limit, maxChanges); len(changed) > limit {
+		slices.SortFunc(changed, func(a, b Subject) int {
+			return cmp.Compare(len(l.records[b].crashes), len(l.records[a].crashes))
+		})
+		changed = changed[:limit]
+	}
+	var out []report
+	for _, subject := range changed {
+		rec := l.records[subject]
+		rec.roundsLeft--
+		out = append(out, newReport(subject, rec, now))
+	}
 	return out
 }
 
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -24,9 +24,11 @@
 // List decides which requests are withheld. It is safe for concurrent use.
 type List struct {
 	self string
-	// owner returns the daemon that may send a trial request with a subject of the given hash.
+	// owner returns the daemon that decides about trials of a subject with the given hash.
 	owner func(hash uint64) string
 	log   *log.Logger
+	// questions asks owners about trials; it is nil without other daemons.
+	questions *questions
 	// synced is opened when the records of another daemon have been received.
 	synced *gossip.Gate
 	// withheldCount is the number of withheld subjects.
@@ -117,31 +119,6 @@
 	return true
 }
 
-// TryOnce reports whether the local daemon may send a request to servers with the given software as
-// a trial, although Permits is false. If so, it counts as sent.
-func (l *List) TryOnce(r Request, s Software, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var tried []*record
-	for _, subject := range r.subjects() {
-		rec := l.records[subject]
-		if rec == nil || rec.permits(s) {
-			continue
-		}
-		if l.owner(subject.Hash) != l.self || !rec.mayTry(r.Customer, s, l.blocked.weak(subject, rec, &r), now) {
-			return false
-		}
-		tried = append(tried, rec)
-	}
-	for _, rec := range tried {
-		rec.trials++
-		rec.triedAt, rec.seenAt, rec.roundsLeft = now, now, gossip.ChangeRounds
-	}
-	l.trials.Inc(1)
-	l.log.Info("withheld request sent as a trial", "customer", r.Customer, "service", s.Service, "version", s.Version, "subjects", len(tried))
-	return true
-}
-
 // Withheld records that a request was not sent. It returns the subject because of which it was withheld
 // and the number of crashes that count against it.
 func (l *List) Withheld(r Request, now time.Time) (subject Subject, crashes int) {
