--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -500,12 +500,12 @@
 		f.offendWhole("model", "customer-1")
 		f.offendWhole("other", "customer-2")
 		f.offenderRate = 5
-		f.run(9 * time.Second)
+		f.run(15 * time.Second)
 		f.check("one attempt")
 		f.offenders, f.maxAttempts = nil, 4
 		f.offend("model", "customer-2")
 		f.offendWhole("other", "customer-2")
-		f.run(8 * time.Second)
+		f.run(10 * time.Second)
 		f.check("four attempts")
 	})
 }
@@ -515,7 +515,7 @@
 		f.offend("model", "customer-0")
 		f.offendWhole("model", "customer-1")
 		f.offenderRate = 5
-		for range 2 {
+		for range 3 {
 			f.run(time.Second)
 			killed := f.nodes[:max(1, f.size.daemons/5)]
 			for _, n := range killed {
@@ -542,9 +542,9 @@
 			f.offendWhole("other", "customer-0")
 			cut := f.nodes[:max(1, int(share*float64(len(f.nodes))))]
 			f.cut(cut)
-			f.run(6 * time.Second)
+			f.run(7 * time.Second)
 			f.heal(cut)
-			f.run(5 * time.Second)
+			f.run(7 * time.Second)
 			f.check(fmt.Sprint("cut ", i))
 		}
 	})
@@ -555,7 +555,7 @@
 		for _, attempts := range []int{1, 4} {
 			f.maxAttempts = attempts
 			f.crashRate = crashesPerSecond / float64(f.size.servers)
-			f.run(7 * time.Second)
+			f.run(10 * time.Second)
 		}
 		f.t.Logf("%d of %d sound requests withheld", f.withheld, f.sound)
 		f.check("crashes")
@@ -571,7 +571,7 @@
 		f.sharedByOffenders = []Subject{shared}
 		f.run(5 * time.Second)
 		sent, served := 0, 0
-		for range 300 {
+		for range 600 {
 			n := f.randomNode()
 			r := &simRequest{node: n, service: "model", attemptsLeft: 1, suspect: Request{Subjects: []Subject{shared}, Customer: "customer-1"}}
 			before := f.withheld
