Count a large answer as an answer to its request

A request whose plain answer is over 256 KiB was withheld after three crashes in which it was a victim, although a server had answered it in between: relayUnbuffered, which passes such answers on as they come, didn't tell the quarantine.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -88,6 +88,32 @@
 	assert.Assert(t, !d.quarantine.Withholds(suspectWith("sound")))
 }
 
+// It guards against a request that is withheld although a server answers it, at length.
+func TestLargeAnswerClearsItsRequest(t *testing.T) {
+	d := newDeployment(t, route.Route{Name: "r", Prefix: "/", Kind: route.NonIdempotent})
+	for i := range 2 {
+		d.addEndingServer(fmt.Sprint("s", i), func(backend.Server) {})
+	}
+	d.start()
+	for i := range 2 {
+		res := d.send(http.MethodPost, "/large", fmt.Sprint("crash-", i))
+		assert.Equal(t, res.status, http.StatusBadGateway)
+	}
+	body := strings.Repeat("x", 2*maxBufferedBytes)
+	d.addServer("whole", respondsWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	res := d.send(http.MethodPost, "/large", "answered")
+	assert.Equal(t, len(res.body), len(body))
+	d.addEndingServer("s3", func(backend.Server) {})
+	for i := range 20 {
+		if res = d.send(http.MethodPost, "/large", fmt.Sprint("later-", i)); res.status == http.StatusBadGateway {
+			break
+		}
+	}
+	assert.Equal(t, res.status, http.StatusBadGateway, "the third server didn't end")
+	res = d.send(http.MethodPost, "/large", "last")
+	assert.Equal(t, res.status, http.StatusOK, res.body[:min(100, len(res.body))])
+}
+
 // It guards against servers that reset connections being taken for crashed ones.
 func TestResetOfAServerThatLivesIsNoCrash(t *testing.T) {
 	d := newDeployment(t, route.Route{Name: "r", Prefix: "/", Kind: route.NonIdempotent})
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -219,6 +219,9 @@
 	}
 	res.inFlight.End(time.Now(), placement.Served)
 	q.outcome, q.status = answered, resp.Status
+	if isSuccess(resp) {
+		q.recordAnswered(res.inFlight.Server)
+	}
 	return false
 }
 
