--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -15,10 +15,10 @@
 
 // report is the record of a subject in a message.
 type report struct {
-	Kind    Kind
-	Hash    uint64
-	Crashes []crashReport
-	Sound   []Software
+	Kind       Kind
+	Hash       uint64
+	Crashes    []crashReport
+	AnsweredBy []Software
 	// Blocked is set while requests with the subject are withheld.
 	Blocked bool
 	Trials  int
@@ -49,7 +49,7 @@
 
 func newReport(subject Subject, rec *record, now time.Time) report {
 	r := report{
-		Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Blocked: rec.blocked, Trials: rec.trials,
+		Kind: subject.Kind, Hash: subject.Hash, AnsweredBy: slices.Clone(rec.answeredBy), Blocked: rec.blocked, Trials: rec.trials,
 		TriedAgoMs: now.Sub(rec.triedAt).Milliseconds(), SeenAgoMs: now.Sub(rec.seenAt).Milliseconds(),
 	}
 	for _, c := range rec.crashes {
@@ -155,8 +155,8 @@
 	if rec == nil {
 		return
 	}
-	for _, s := range r.Sound {
-		l.update(subject, rec, from, func() bool { return rec.addSound(s) })
+	for _, s := range r.AnsweredBy {
+		l.update(subject, rec, from, func() bool { return rec.addAnsweredBy(s) })
 	}
 	if r.Blocked && !rec.blocked {
 		l.evaluate(subject, rec, crashesToWithhold, from)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -12,8 +12,8 @@
 	crashesToWithhold = 3
 	// maxCrashes bounds the crashes kept for a subject.
 	maxCrashes = 16
-	// maxSound bounds the software kept that answered requests with the subject.
-	maxSound = 8
+	// maxAnsweredBy bounds the software kept that answered requests with the subject.
+	maxAnsweredBy = 8
 	// maxTrials is the number of trials of a block, apart from those after idleTime.
 	maxTrials = 2
 	// trialInterval is the time after a trial in which there is no other one. The result of a trial
@@ -32,9 +32,9 @@
 	crashes []Crash
 	// blocked is set once there were enough unanswered crashes for a block.
 	blocked bool
-	// sound is the software that answered requests with the subject. It is not sound if there are
-	// unanswered crashes of it as well.
-	sound []Software
+	// answeredBy is the software that answered requests with the subject. Unanswered crashes of the same
+	// software count for more.
+	answeredBy []Software
 	// trials is the number of trials, triedAt the time of the last one.
 	trials  int
 	triedAt time.Time
@@ -68,7 +68,7 @@
 	if !r.withheld() {
 		return true
 	}
-	return slices.Contains(r.sound, s) && !r.hasUnanswered(func(c Crash) bool { return c.Software == s })
+	return slices.Contains(r.answeredBy, s) && !r.hasUnanswered(func(c Crash) bool { return c.Software == s })
 }
 
 // mayTry reports whether the block may be wrong or outdated for a request of a customer to servers
@@ -137,14 +137,14 @@
 			c.Answered, changed = true, true
 		}
 	}
-	return r.addSound(s) || changed
+	return r.addAnsweredBy(s) || changed
 }
 
-func (r *record) addSound(s Software) bool {
-	if slices.Contains(r.sound, s) || len(r.sound) == maxSound {
+func (r *record) addAnsweredBy(s Software) bool {
+	if slices.Contains(r.answeredBy, s) || len(r.answeredBy) == maxAnsweredBy {
 		return false
 	}
-	r.sound = append(r.sound, s)
+	r.answeredBy = append(r.answeredBy, s)
 	return true
 }
 
--- a/quarantine/stored.go
+++ b/quarantine/stored.go
@@ -12,11 +12,11 @@
 
 // storedBlock is the JSON form of a block in the platform's store.
 type storedBlock struct {
-	Kind    Kind          `json:"kind"`
-	Hash    uint64        `json:"hash,string"`
-	Crashes []storedCrash `json:"crashes"`
-	Sound   []Software    `json:"sound,omitempty"`
-	Trials  int           `json:"trials,omitempty"`
+	Kind       Kind          `json:"kind"`
+	Hash       uint64        `json:"hash,string"`
+	Crashes    []storedCrash `json:"crashes"`
+	AnsweredBy []Software    `json:"answered_by,omitempty"`
+	Trials     int           `json:"trials,omitempty"`
 }
 
 type storedCrash struct {
@@ -61,7 +61,7 @@
 }
 
 func newStoredBlock(subject Subject, rec *record) storedBlock {
-	v := storedBlock{Kind: subject.Kind, Hash: subject.Hash, Sound: slices.Clone(rec.sound), Trials: rec.trials}
+	v := storedBlock{Kind: subject.Kind, Hash: subject.Hash, AnsweredBy: slices.Clone(rec.answeredBy), Trials: rec.trials}
 	for _, c := range rec.crashes {
 		if c.Answered {
 			continue
@@ -94,8 +94,8 @@
 	if rec == nil {
 		return nil
 	}
-	for _, s := range v.Sound {
-		l.update(subject, rec, "store", func() bool { return rec.addSound(s) })
+	for _, s := range v.AnsweredBy {
+		l.update(subject, rec, "store", func() bool { return rec.addAnsweredBy(s) })
 	}
 	l.evaluate(subject, rec, crashesToWithhold, "store")
 	rec.trials = max(rec.trials, v.Trials)
