List a sound request that is withheld for a moment as known red, with its trace

Five parts crash servers at once there, requests with each of them have that document, so no one of them explains all its crashes, and its answers are not known everywhere yet.

The check stays as it is. The test now says which subject withheld a request and when.

--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -144,6 +144,7 @@
 	crashRate float64
 	// sound counts the sound requests, withheld those of them that were not sent.
 	sound, withheld int
+	notes           []string
 	nextID          uint64
 	// nextTick is the first tick whose calls were not made yet.
 	nextTick int64
@@ -381,15 +382,34 @@
 	if list.Permits(r.suspect, s.software()) || list.TryOnce(f.t.Context(), r.suspect, s.software(), time.Now()) {
 		return s
 	}
-	list.Withheld(r.suspect, time.Now())
+	subject, crashes := list.Withheld(r.suspect, time.Now())
 	if r.offender != nil {
 		r.offender.withheld++
 	} else {
 		f.withheld++
+		f.noteWithheld(r, subject, crashes)
 	}
 	return nil
 }
 
+// maxNotes bounds the notes about withheld sound requests.
+const maxNotes = 5
+
+// noteWithheld notes why a sound request was withheld, for the report of a failure.
+func (f *simFleet) noteWithheld(r *simRequest, subject Subject, crashes int) {
+	if len(f.notes) == maxNotes {
+		return
+	}
+	note := fmt.Sprintf("%v of %s at %s with %d crashes, %d blocked there, %d recent crashes", subject, r.suspect.Customer, r.node.name,
+		crashes, len(r.node.list.blocked), len(r.node.list.recent))
+	for i, o := range f.offenders {
+		if len(o.crashes) > 0 {
+			note += fmt.Sprintf("; %v after crash 1 of %d of offender %d", time.Since(o.crashes[0]).Round(tick), len(o.crashes), i)
+		}
+	}
+	f.notes = append(f.notes, note)
+}
+
 // prove ends the beginning of an answer.
 func (f *simFleet) prove(r *simRequest, s *simServer, number int64) {
 	if s.number != number || !s.starting[r] {
@@ -467,7 +487,7 @@
 		assert.Check(f.t, o.lateSends() <= maxLateSends, "%s: offender %d: %d late sends", what, i, o.lateSends())
 		assert.Check(f.t, len(o.crashes) > 0 && o.withheld > 0, "%s: offender %d was not withheld", what, i)
 	}
-	assert.Check(f.t, f.withheld == 0, "%s: %d of %d sound requests withheld", what, f.withheld, f.sound)
+	assert.Check(f.t, f.withheld == 0, "%s: %d of %d sound requests withheld: %v", what, f.withheld, f.sound, f.notes)
 }
 
 // forEachFleet runs a scenario for each size.
