Refuse less urgent requests before they take the slots of more urgent ones

Cause: placement knew nothing of the servers' slots. A burst of digests, three times the usual, filled the slots and queues of all servers. Reserved servers followed the share of the work in tokens, which such a burst lowers, so the most urgent class was sent to a few servers, up to 41 requests to one of 12 slots. Servers rejected 11,224 sends and preempted 5,231 requests, whose prompts were read again, and callers came back in waves after a second.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -76,7 +76,7 @@
 	return q.cfg.Tracker.Place(time.Now(), servers, placement.Request{
 		Memory: memory, MaxWait: q.maxWait(), Urgency: q.urgency,
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
-		Gap:   q.route.GapTarget,
+		Target: q.route.Target, Gap: q.route.GapTarget,
 		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.MinGapTarget(q.service),
 	})
 }
@@ -94,8 +94,8 @@
 // refuseOverloaded responds to a request whose queueing time would be too long
 // at the best server.
 func (q *request) refuseOverloaded(ctx context.Context, r *placement.Refusal) {
-	q.cfg.Log.Info("request refused, estimated wait exceeds the limit", "request_id", q.meta.ID, "service", q.service, "priority", q.priority,
-		"wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
+	q.cfg.Log.Info("request refused, servers are overloaded", "request_id", q.meta.ID, "service", q.service, "priority", q.priority,
+		"reason", r.Reason, "wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
 	if ctx.Err() != nil {
 		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
 		return
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -44,9 +44,21 @@
 	maxRetryAfter = 3 * time.Second
 )
 
+// RefusalReason is why a request is refused, for logs.
+type RefusalReason string
+
+// Reasons of refusals.
+const (
+	// slotsUsed: the slots of the servers are in use.
+	slotsUsed RefusalReason = "slots"
+	// serverBehind: the chosen server has too many prompts to read, or too little memory.
+	serverBehind RefusalReason = "backlog or memory"
+)
+
 // Refusal describes why a request is not accepted now and when to retry it.
 type Refusal struct {
-	// Wait is the expected wait at the chosen server.
+	Reason RefusalReason
+	// Wait is the expected wait at the chosen server; zero if none was chosen.
 	Wait time.Duration
 	// MaxWait is the longest acceptable wait of the request.
 	MaxWait time.Duration
@@ -110,7 +122,7 @@
 	wait := chosen.expectedWait()
 	excess := max(0, wait-req.MaxWait/2)
 	retry := time.Duration(float64(excess) * (0.5 + rnd.Float64()))
-	return &Refusal{Wait: wait, MaxWait: req.MaxWait, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retry))}
+	return &Refusal{Reason: serverBehind, Wait: wait, MaxWait: req.MaxWait, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retry))}
 }
 
 // rateEstimate is a moving average of the prefill rate.
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"slices"
-
-	"github.com/jacinththread/jacinththread/route"
-)
+import "github.com/jacinththread/jacinththread/route"
 
 // backlog holds the number of prompt tokens that a server has not read yet, by the
 // urgency of their requests. A server reads the prompts of more urgent requests first.
@@ -36,13 +32,7 @@
 }
 
 // encode returns the backlog without its trailing zeros.
-func (b *backlog) encode() []int32 {
-	n := len(b)
-	for n > 0 && b[n-1] == 0 {
-		n--
-	}
-	return slices.Clone(b[:n])
-}
+func (b *backlog) encode() []int32 { return trimZeros(b[:]) }
 
 // decodeBacklog reverts encode. Daemons of older versions report only the total, which
 // then counts as most urgent.
--- a/placement/exchange.go
+++ b/placement/exchange.go
@@ -138,6 +138,7 @@
 		e.sendTotals(fleet, now)
 	}
 	e.tracker.updateRemote(now)
+	e.tracker.setDaemons(len(fleet.Others) + 1)
 }
 
 // sendToAll sends changes to all other daemons.
--- a/placement/inflight.go
+++ b/placement/inflight.go
@@ -63,9 +63,10 @@
 	// tokens until the first event, then 0.
 	pendingTokens int
 	urgency       int
-	used          int
-	tight         bool
-	ended         bool
+	// used is the memory that the request needs, in tokens; 0 if it has no prompt.
+	used  int
+	tight bool
+	ended bool
 }
 
 // RecordProgress records that the server sent a part of the response. The first
@@ -104,12 +105,16 @@
 	f.clearPending()
 	st := f.tracker.state(f.Server.Instance())
 	st.running--
+	st.slots[f.urgency]--
 	st.used -= f.used
 	if f.tight {
 		st.tight--
 	}
 	switch r {
 	case Served:
+		if f.used > 0 {
+			f.tracker.hold.observe(now.Sub(f.placedAt))
+		}
 		st.failures = 0
 		st.lastActivity = now
 		st.observeResult(0)
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -30,6 +30,9 @@
 	// BacklogByUrgency divides Backlog, without trailing zeros. Daemons of older
 	// versions do not send it.
 	BacklogByUrgency []int32
+	// RunningByUrgency divides Running, without trailing zeros. Daemons of older versions do not
+	// send it.
+	RunningByUrgency []int32
 }
 
 // id identifies the server instance that the load is on.
@@ -38,6 +41,9 @@
 // tokens returns the backlog by urgency.
 func (l *serverLoad) tokens() backlog { return decodeBacklog(l.BacklogByUrgency, l.Backlog) }
 
+// slots returns the number of requests by urgency.
+func (l *serverLoad) slots() slotCounts { return decodeSlotCounts(l.RunningByUrgency, l.Running) }
+
 // setTokens sets the backlog.
 func (l *serverLoad) setTokens(b *backlog) {
 	l.Backlog, l.BacklogByUrgency = int32(b.total()), b.encode()
@@ -72,6 +78,7 @@
 type remoteLoad struct {
 	running, tight, used float64
 	backlog              backlog
+	slots                slotCounts
 }
 
 func (r *remoteLoad) add(l *serverLoad) {
@@ -79,6 +86,8 @@
 	r.tight += float64(l.Tight)
 	tokens := l.tokens()
 	r.backlog.add(&tokens)
+	slots := l.slots()
+	r.slots.add(&slots)
 	r.used += float64(l.MemoryUsed)
 }
 
@@ -89,6 +98,8 @@
 	r.tight = max(0, r.tight-float64(l.Tight))
 	tokens := l.tokens()
 	r.backlog.subtract(&tokens)
+	slots := l.slots()
+	r.slots.subtract(&slots)
 	r.used = max(0, r.used-float64(l.MemoryUsed))
 }
 
@@ -116,11 +127,12 @@
 			Server: instance.ID, Started: instance.Started,
 			Running: int32(st.running), Tight: int32(st.tight), MemoryUsed: int32(st.used), Parts: st.unsharedParts,
 		}
-		same := now.Running == st.reported.Running && now.MemoryUsed == st.reported.MemoryUsed && st.backlog == st.reported.tokens()
+		same := now.Running == st.reported.Running && now.MemoryUsed == st.reported.MemoryUsed && st.backlog == st.reported.tokens() && st.slots == st.reported.slots()
 		if same && len(st.unsharedParts) == 0 && (!all || now.empty()) {
 			continue
 		}
 		now.setTokens(&st.backlog)
+		now.RunningByUrgency = st.slots.encode()
 		out = append(out, now)
 		st.unsharedParts = nil
 		st.reported = now
@@ -240,9 +252,12 @@
 			l.Tight += st.reported.Tight
 			tokens := st.reported.tokens()
 			r.backlog.add(&tokens)
+			slots := st.reported.slots()
+			r.slots.add(&slots)
 			l.MemoryUsed += st.reported.MemoryUsed
 		}
 		l.setTokens(&r.backlog)
+		l.RunningByUrgency = r.slots.encode()
 		if !l.empty() {
 			m.Loads = append(m.Loads, l)
 		}
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -71,11 +71,16 @@
 // round lets each daemon send its loads once and then recompute the remote
 // loads.
 func (d *testFleet) round(at time.Time) {
+	d.send(at)
 	for _, name := range d.names {
-		d.exchanges[name].round(d.fleets[name], at)
+		d.trackers[name].updateRemote(at)
 	}
+}
+
+// send lets each daemon send its loads once. Daemons that do so earlier don't know of those that follow.
+func (d *testFleet) send(at time.Time) {
 	for _, name := range d.names {
-		d.trackers[name].updateRemote(at)
+		d.exchanges[name].round(d.fleets[name], at)
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -48,6 +48,8 @@
 	// Memory is the memory of each server of the service, in tokens; zero means
 	// that it is unknown.
 	Memory int
+	// Target is the latency objective up to the first event.
+	Target time.Duration
 	// MaxWait is the longest time that the request waits for the prompts ahead
 	// of it to be read; zero means no bound.
 	MaxWait time.Duration
@@ -61,8 +63,15 @@
 // Candidate is a server and its estimated load.
 type Candidate struct {
 	Server *backend.Server
+	// hash is the hash of the server's ID.
+	hash uint64
 	// Running is the number of requests that all daemons have at the server.
 	Running float64
+	// Slots is the number of requests that the server runs at a time; zero if it isn't known.
+	Slots int
+	// AtLeastAsUrgent is the part of Running that is at least as urgent as the request to be
+	// placed.
+	AtLeastAsUrgent float64
 	// Tight is the number of running requests with a tight gap objective.
 	Tight float64
 	// Backlog is the number of prompt tokens of requests that have not produced
@@ -86,6 +95,8 @@
 	ErrorShare float64
 	// LongestPause is the longest recent gap between two events of a stream.
 	LongestPause time.Duration
+	// SlotWait is how long the request is expected to wait for a slot.
+	SlotWait time.Duration
 	// Reserved servers are kept for requests with a tight gap objective.
 	Reserved bool
 	// Suspended servers failed recently and are chosen only if no other server
@@ -131,19 +142,22 @@
 	// whose requests list no prompt parts. It has the unit of otherDomainTokens,
 	// with which it is compared.
 	promptlessRequestTokens = 400.0
-	// jitterTokens is the range of the random cost that distributes requests
-	// over servers of equal cost.
-	jitterTokens = 100.0
+	// minJitterTokens is the range of the random cost that distributes requests over servers of
+	// about equal cost. It grows by jitterPerDaemon with each daemon, because daemons that choose
+	// at the same time don't see each other's choices.
+	minJitterTokens = 100.0
+	jitterPerDaemon = 14.0
 )
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if
-// there are no candidates.
-func Choose(now time.Time, candidates []Candidate, req Request, rnd *rand.Rand) int {
+// there are no candidates. The given number of daemons choose at the same time.
+func Choose(now time.Time, candidates []Candidate, req Request, daemons int, rnd *rand.Rand) int {
+	jitter := max(minJitterTokens, jitterPerDaemon*float64(daemons))
 	best, bestCost := -1, 0.0
 	home := homeIndex(candidates, req)
 	pool := newPoolStats(candidates)
 	for i := range candidates {
-		cost := costOf(now, &candidates[i], req, i == home, pool) + jitterTokens*rnd.Float64()
+		cost := costOf(now, &candidates[i], req, i == home, pool) + jitter*rnd.Float64()
 		if best < 0 || ranksBefore(&candidates[i], cost, &candidates[best], bestCost) {
 			best, bestCost = i, cost
 		}
@@ -176,6 +190,7 @@
 			cost += reservationMismatchCost(req, miss)
 		}
 		cost += c.pauseCost(&req)
+		cost += float64(c.SlotWait.Milliseconds()) * c.PrefillRate
 	}
 	cost *= max(1, c.Slowness)
 	if c.Server.Domain != req.Domain {
@@ -230,11 +245,12 @@
 	}
 	key := req.Prompt[len(req.Prompt)-2].Hash
 	best, bestScore := -1, uint64(0)
-	for i, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if c.Suspended || c.Reserved && !req.Tight {
 			continue
 		}
-		score := mix(key ^ xxhash.Sum64String(c.Server.ID))
+		score := mix(key ^ c.hash)
 		if best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
--- a/placement/reserved.go
+++ b/placement/reserved.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Some servers are reserved for requests with a tight gap objective. A server
@@ -90,8 +88,8 @@
 		score uint64
 	}
 	order := make([]ranked, len(candidates))
-	for i, c := range candidates {
-		order[i] = ranked{i, mix(reservedSalt ^ xxhash.Sum64String(c.Server.ID))}
+	for i := range candidates {
+		order[i] = ranked{i, mix(reservedSalt ^ candidates[i].hash)}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		if a.score > b.score {
--- /dev/null
+++ b/placement/slots.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/jacinththread/jacinththread/route"
+)
+
+// A server runs as many requests at a time as it has slots and queues a few more. A more urgent
+// request takes the slot of a less urgent one, which is preempted and has to be read again, and a
+// server whose queue is full rejects even the most urgent request. Less urgent requests are
+// therefore refused early, with a probability that grows with the share of the slots in use, so
+// that slots stay free for the more urgent ones. This answers bursts of a less urgent class that
+// fill the slots of all servers.
+
+const (
+	// Requests with a maximum wait are all accepted while openOccupancy of the slots are in use,
+	// and none is at fullOccupancy. Between them the accepted share decreases steadily: daemons
+	// learn of each other's requests with a delay, and a single threshold would make all of them
+	// accept and refuse in turn.
+	openOccupancy = 0.75
+	fullOccupancy = 1.0
+	// maxOccupancy is the number of requests at a server, relative to its slots, above which it
+	// gets no more while others have fewer.
+	maxOccupancy = 1.5
+	// reservedSlotFactor is the ratio between the slots of reserved servers and those that tight
+	// requests use.
+	reservedSlotFactor = 1.5
+	// minReturnShare and maxReturnShare bound the retry delay of a refused caller, as a share of
+	// the latency objective, which a caller that returns in this time can still meet.
+	minReturnShare = 0.2
+	maxReturnShare = 0.6
+	// defaultHold is how long a request is assumed to occupy a slot before any was observed, and
+	// holdSmoothing the weight of the newest sample in the moving average.
+	defaultHold   = time.Second
+	holdSmoothing = 0.05
+)
+
+// slotCounts holds the number of requests at a server, running or queued, by urgency.
+type slotCounts [route.MaxUrgency + 1]int32
+
+// atLeast returns the number of requests that are at least as urgent.
+func (c *slotCounts) atLeast(urgency int) float64 {
+	sum := 0.0
+	for _, n := range c[:urgency+1] {
+		sum += float64(n)
+	}
+	return sum
+}
+
+func (c *slotCounts) add(other *slotCounts) {
+	for i := range c {
+		c[i] += other[i]
+	}
+}
+
+// subtract removes a load that c includes unless it is out of date.
+func (c *slotCounts) subtract(other *slotCounts) {
+	for i := range c {
+		c[i] = max(0, c[i]-other[i])
+	}
+}
+
+// encode returns the counts without their trailing zeros.
+func (c *slotCounts) encode() []int32 { return trimZeros(c[:]) }
+
+// decodeSlotCounts reverts encode. Daemons of older versions report only the total, which then
+// counts as least urgent: nobody is refused because of it.
+func decodeSlotCounts(encoded []int32, total int32) slotCounts {
+	var c slotCounts
+	if len(encoded) == 0 {
+		c[route.MaxUrgency] = total
+	}
+	copy(c[:], encoded)
+	return c
+}
+
+// holdEstimate is a moving average of how long requests occupy a slot.
+type holdEstimate struct{ mean time.Duration }
+
+func (h *holdEstimate) orDefault() time.Duration {
+	if h.mean == 0 {
+		return defaultHold
+	}
+	return h.mean
+}
+
+func (h *holdEstimate) observe(held time.Duration) {
+	h.mean = h.orDefault() + time.Duration(holdSmoothing*float64(held-h.orDefault()))
+}
+
+// slotWait returns how long a request waits for a slot of the server behind those that are at
+// least as urgent.
+func (c *Candidate) slotWait(hold time.Duration) time.Duration {
+	if c.Slots == 0 || c.AtLeastAsUrgent < float64(c.Slots) {
+		return 0
+	}
+	queued := c.AtLeastAsUrgent - float64(c.Slots) + 1
+	return time.Duration(queued / float64(c.Slots) * float64(hold))
+}
+
+// hasRoom reports whether the server may get the request. Reserved servers are for tight requests alone.
+func (c *Candidate) hasRoom(req *Request) bool {
+	if c.Slots == 0 {
+		return true
+	}
+	if c.Reserved && !req.Tight {
+		return false
+	}
+	return c.Running < maxOccupancy*float64(c.Slots)
+}
+
+// withRoom returns the candidates that have room for the request, or all if none has.
+func withRoom(candidates []Candidate, req *Request) []Candidate {
+	var out []Candidate
+	for _, c := range candidates {
+		if c.hasRoom(req) {
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return candidates
+	}
+	return out
+}
+
+// acceptedShare returns the share of the requests of this urgency that is accepted, by the slots
+// that requests at least as urgent use on the servers that are meant for it.
+func acceptedShare(candidates []Candidate, req *Request) float64 {
+	used, slots := 0.0, 0.0
+	for _, c := range candidates {
+		if c.Reserved == req.Tight && !c.Suspended {
+			used += c.AtLeastAsUrgent
+			slots += float64(c.Slots)
+		}
+	}
+	if slots == 0 {
+		return 1
+	}
+	return min(1, max(0, (fullOccupancy-used/slots)/(fullOccupancy-openOccupancy)))
+}
+
+// admitBySlots returns a refusal if the request isn't accepted at the present use of the slots,
+// and nil otherwise. Requests without a maximum wait are always accepted.
+func admitBySlots(candidates []Candidate, req *Request, rnd *rand.Rand) *Refusal {
+	if req.MaxWait == 0 || rnd.Float64() < acceptedShare(candidates, req) {
+		return nil
+	}
+	share := minReturnShare + (maxReturnShare-minReturnShare)*rnd.Float64()
+	return &Refusal{Reason: slotsUsed, MaxWait: req.MaxWait, RetryAfter: time.Duration(share * float64(req.Target))}
+}
+
+// reservedShare is the share of the servers that are reserved for the slots that tight requests
+// need. It follows a growing need at once and a shrinking one slowly, so that a burst of other
+// requests doesn't get the servers on which the tight ones run.
+type reservedShare struct {
+	share     float64
+	updatedAt time.Time
+}
+
+// count returns the number of servers to reserve.
+func (r *reservedShare) count(now time.Time, candidates []Candidate) int {
+	if len(candidates) < minReservedPool || candidates[0].Slots == 0 {
+		return 0
+	}
+	if r.updatedAt.IsZero() {
+		r.share = defaultReservedShare
+	} else if age := now.Sub(r.updatedAt); age > 0 {
+		r.share *= math.Exp2(-age.Seconds() / demandHalfLife.Seconds())
+	}
+	r.updatedAt = now
+	r.share = max(r.share, neededShare(candidates))
+	return int(math.Round(r.share * float64(len(candidates))))
+}
+
+// neededShare returns the share of the slots that tight requests need.
+func neededShare(candidates []Candidate) float64 {
+	tight, slots := 0.0, 0.0
+	for _, c := range candidates {
+		tight += c.Tight
+		slots += float64(c.Slots)
+	}
+	return min(maxReservedShare, reservedSlotFactor*tight/max(1, slots))
+}
+
+// trimZeros returns a copy of counts without trailing zeros.
+func trimZeros(counts []int32) []int32 {
+	n := len(counts)
+	for n > 0 && counts[n-1] == 0 {
+		n--
+	}
+	return slices.Clone(counts[:n])
+}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/jacinththread/jacinththread/backend"
@@ -40,17 +41,25 @@
 	// queuedParts holds the prompt parts to be included in the next totals.
 	queuedParts map[backend.Instance][]uint64
 	demand      demand
+	reserved    reservedShare
 	// prefillRate is the rate over all servers, used for servers without
 	// samples.
 	prefillRate rateEstimate
+	// hold is how long requests with a prompt occupy a slot.
+	hold holdEstimate
+	// daemons is the number of live daemons.
+	daemons int
 }
 
 // serverState is what the tracker knows about one instance of a server. The counts
 // are those of the local daemon.
 type serverState struct {
+	// hash is the hash of the server's ID.
+	hash           uint64
 	running        int
 	tight          int
 	backlog        backlog
+	slots          slotCounts
 	used           int
 	prefillRate    rateEstimate
 	pauses         pauseHistory
@@ -94,10 +103,13 @@
 		candidates[i] = t.candidate(now, s, req)
 	}
 	if len(req.Prompt) > 0 {
-		t.demand.decay(now)
-		markReserved(candidates, t.demand.reservedCount(len(candidates)))
+		markReserved(candidates, t.reservedCount(now, candidates))
+		if refusal := admitBySlots(candidates, &req, t.rnd); refusal != nil {
+			return nil, refusal
+		}
+		candidates = sample(withRoom(candidates, &req), req, sampleShare(t.daemons, len(candidates)), t.rnd)
 	}
-	i := Choose(now, candidates, req, t.rnd)
+	i := Choose(now, candidates, req, t.daemons, t.rnd)
 	if i < 0 {
 		return nil, nil
 	}
@@ -107,6 +119,13 @@
 	return t.trackRequest(now, req, &candidates[i]), nil
 }
 
+// reservedCount returns the number of servers to reserve for tight requests. The caller must hold
+// t.mu.
+func (t *Tracker) reservedCount(now time.Time, candidates []Candidate) int {
+	t.demand.decay(now)
+	return max(t.demand.reservedCount(len(candidates)), t.reserved.count(now, candidates))
+}
+
 // candidate returns the estimated state of a server for a request. The caller
 // must hold t.mu.
 func (t *Tracker) candidate(now time.Time, s *backend.Server, req Request) Candidate {
@@ -118,20 +137,27 @@
 		st.wasSilent = silent
 		t.log.Info("server silence detected or ended", "server", s.ID, "silent", silent, "running", st.running, "heard_ms", now.Sub(st.lastActivity).Milliseconds())
 	}
-	return Candidate{
-		Server:       s,
-		Running:      float64(st.running) + others.running,
-		Tight:        float64(st.tight) + others.tight,
-		Backlog:      total,
-		Ahead:        st.backlog.ahead(req.Urgency) + others.backlog.ahead(req.Urgency),
-		MemoryUsed:   float64(st.used) + others.used,
-		PrefillRate:  st.prefillRate.orDefault(t.prefillRate.orDefault(defaultPrefillRate)),
-		CachedTokens: st.cachedTokens(now, req.Prompt),
-		Slowness:     1,
-		ErrorShare:   st.errorShare,
-		LongestPause: st.pauses.longest(now),
-		Suspended:    now.Before(st.suspendedUntil) || silent,
+	slots := st.slots
+	slots.add(&others.slots)
+	c := Candidate{
+		Server:          s,
+		hash:            st.hash,
+		Slots:           s.Slots,
+		AtLeastAsUrgent: slots.atLeast(req.Urgency),
+		Running:         float64(st.running) + others.running,
+		Tight:           float64(st.tight) + others.tight,
+		Backlog:         total,
+		Ahead:           st.backlog.ahead(req.Urgency) + others.backlog.ahead(req.Urgency),
+		MemoryUsed:      float64(st.used) + others.used,
+		PrefillRate:     st.prefillRate.orDefault(t.prefillRate.orDefault(defaultPrefillRate)),
+		CachedTokens:    st.cachedTokens(now, req.Prompt),
+		Slowness:        1,
+		ErrorShare:      st.errorShare,
+		LongestPause:    st.pauses.longest(now),
+		Suspended:       now.Before(st.suspendedUntil) || silent,
 	}
+	c.SlotWait = c.slotWait(t.hold.orDefault())
+	return c
 }
 
 // silent reports whether the server has running requests and has sent nothing
@@ -157,7 +183,7 @@
 func (t *Tracker) state(instance backend.Instance) *serverState {
 	st := t.servers[instance]
 	if st == nil {
-		st = &serverState{parts: map[uint64]time.Time{}}
+		st = &serverState{hash: xxhash.Sum64String(instance.ID), parts: map[uint64]time.Time{}}
 		t.servers[instance] = st
 	}
 	return st
@@ -179,6 +205,7 @@
 		st.lastActivity = now
 	}
 	st.running++
+	st.slots[req.Urgency]++
 	if f.tight {
 		st.tight++
 	}
@@ -193,6 +220,13 @@
 	return f
 }
 
+// setDaemons sets the number of live daemons.
+func (t *Tracker) setDaemons(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.daemons = n
+}
+
 // Forget removes the state of servers that are not known any more and have no
 // running requests.
 func (t *Tracker) Forget(known func(backend.Instance) bool) {
