Keep reserved servers to tight requests only while slots are scarce

Cause: servers reserved for tight requests got no others any more. There a server has 64 slots and is limited by the prompts that it reads; a third of them stood idle.

Change: reserved servers are closed to others, and reserved for slots, only while over half of all slots are in use.

--- a/placement/slots.go
+++ b/placement/slots.go
@@ -26,6 +26,10 @@
 	// maxOccupancy is the number of requests at a server, relative to its slots, above which it
 	// gets no more while others have fewer.
 	maxOccupancy = 1.5
+	// scarceOccupancy is the share of the slots in use from which servers are reserved for the
+	// slots of tight requests, and other requests don't get these. Below it, reading prompts is
+	// what limits the servers.
+	scarceOccupancy = 0.5
 	// reservedSlotFactor is the ratio between the slots of reserved servers and those that tight
 	// requests use.
 	reservedSlotFactor = 1.5
@@ -102,12 +106,23 @@
 	return time.Duration(queued / float64(c.Slots) * float64(hold))
 }
 
-// hasRoom reports whether the server may get the request. Reserved servers are for tight requests alone.
-func (c *Candidate) hasRoom(req *Request) bool {
-	if c.Slots == 0 {
-		return true
+// slotsScarce reports whether slots limit the servers.
+func slotsScarce(candidates []Candidate) bool {
+	used, slots := 0.0, 0.0
+	for i := range candidates {
+		used += candidates[i].Running
+		slots += float64(candidates[i].Slots)
 	}
-	if c.Reserved && !req.Tight {
+	return used > scarceOccupancy*slots
+}
+
+// hasRoom reports whether the server may get the request. While slots are scarce, reserved servers
+// are for tight requests alone.
+func (c *Candidate) hasRoom(req *Request, scarce bool) bool {
+	switch {
+	case c.Slots == 0:
+		return true
+	case scarce && c.Reserved && !req.Tight:
 		return false
 	}
 	return c.Running < maxOccupancy*float64(c.Slots)
@@ -115,9 +130,10 @@
 
 // withRoom returns the candidates that have room for the request, or all if none has.
 func withRoom(candidates []Candidate, req *Request) []Candidate {
+	scarce := slotsScarce(candidates)
 	var out []Candidate
 	for _, c := range candidates {
-		if c.hasRoom(req) {
+		if c.hasRoom(req, scarce) {
 			out = append(out, c)
 		}
 	}
@@ -172,7 +188,9 @@
 		r.share *= math.Exp2(-age.Seconds() / demandHalfLife.Seconds())
 	}
 	r.updatedAt = now
-	r.share = max(r.share, neededShare(candidates))
+	if slotsScarce(candidates) {
+		r.share = max(r.share, neededShare(candidates))
+	}
 	return int(math.Round(r.share * float64(len(candidates))))
 }
 
