Let searches for a tunnel go on while requests keep arriving

Cause, by a trace of one such play: after three failed searches in a row no daemon is asked for a pause. A request that arrived in the pause, for which nobody was asked, counted as another failed search and began the pause anew, so that with a request every two seconds it never ended.

Change: only a search that asked a daemon can fail.

--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -57,12 +57,13 @@
 // Open opens a connection to a server through another daemon and returns the daemon's name. It asks several
 // daemons in turn. The error is an *OpenError or ErrNoDaemon if none was reached that reaches the server.
 func (c *Client) Open(ctx context.Context, server backend.Instance) (net.Conn, string, error) {
-	lastErr, notReached := ErrNoDaemon, 0
+	lastErr, asked, notReached := ErrNoDaemon, 0, 0
 	for n := range c.attempts() {
 		daemon, ok := c.choose(server, n > 0)
 		if !ok {
 			break
 		}
+		asked++
 		conn, err := c.openThrough(ctx, daemon, server)
 		if err == nil {
 			return conn, daemon, nil
@@ -75,7 +76,9 @@
 		}
 		lastErr = err
 	}
-	c.searchFailed(server, notReached)
+	if asked > 0 { // Otherwise a pause between searches would never end while requests arrive.
+		c.searchFailed(server, notReached)
+	}
 	return nil, "", lastErr
 }
 
