Don't take the path to all servers for lost while others are reached

Cause: three servers to which connections fail were evidence of a lost path unless the head of a response arrived meanwhile. When many servers crash at once, a daemon meets three of them sooner than the next head, while connections to others open and streams of others go on.

Change: a direct connection that opens ends that evidence, and every part of a response counts as heard, not just its head.

--- a/reach/table.go
+++ b/reach/table.go
@@ -48,7 +48,7 @@
 	// lost is the number of servers to which connections fail.
 	lost int64
 	// failed, tunneled and unanswered hold the servers that began to fail in these ways since a response last arrived on
-	// any direct connection, and since when.
+	// any direct connection, and since when. Those in failed began to since a direct connection was last opened, too.
 	failed, tunneled, unanswered evidence
 	// heardAt is when a response last arrived on any direct connection.
 	heardAt   time.Time
@@ -115,7 +115,7 @@
 	defer t.mu.Unlock()
 	st := t.state(server)
 	st.openedAt = now
-	delete(t.failed, server)
+	clear(t.failed) // The daemon hasn't lost its path to all servers.
 	if st.failures == 0 {
 		return
 	}
--- a/reach/table_test.go
+++ b/reach/table_test.go
@@ -95,6 +95,18 @@
 	assert.Assert(t, !tab.IsIsolated())
 }
 
+// It guards against daemons that take themselves for isolated because several servers crash at once.
+func TestServersThatFailWhileOthersAreReachedShowNoIsolation(t *testing.T) {
+	tab := newHeardTable(8)
+	for i := range 6 {
+		tab.ConnectFailed(server(i), errDial, at(100+2*i))
+		tab.Connected(server(7), at(101+2*i))
+	}
+	assert.Assert(t, !tab.IsIsolated())
+	assert.Assert(t, tab.UseDirect(server(6), false, at(200)))
+	assert.Assert(t, !tab.UseDirect(server(0), true, at(200)))
+}
+
 func TestServersThatFailWhileOthersAnswerShowNoIsolation(t *testing.T) {
 	tab := newHeardTable(5)
 	for i := range 4 {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -248,9 +248,7 @@
 		if err != nil {
 			return nil, readError(err)
 		}
-		if c.Via == "" {
-			c.pool.connector.Heard(c.instance)
-		}
+		c.heard()
 		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
 			return c.newResponse(res)
 		}
@@ -258,6 +256,13 @@
 	return nil, fmt.Errorf("%w: %d informational responses", ErrMalformed, maxInformational)
 }
 
+// heard reports that bytes of a response arrived on a direct connection.
+func (c *Conn) heard() {
+	if c.Via == "" {
+		c.pool.connector.Heard(c.instance)
+	}
+}
+
 // readError wraps errors of the HTTP parser with ErrMalformed. Errors of the
 // connection are returned unchanged.
 func readError(err error) error {
@@ -318,6 +323,9 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (resp *Response) Read(p []byte) (int, error) {
 	n, err := resp.body.Read(p)
+	if n > 0 {
+		resp.conn.heard()
+	}
 	if err == io.EOF {
 		resp.finish()
 	}
