--- a/internal/proctest/proctest.go
+++ b/internal/proctest/proctest.go
@@ -3,7 +3,10 @@
 package proctest
 
 import (
+	"archive/tar"
 	"fmt"
+	"io"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"syscall"
@@ -29,6 +32,78 @@
 	return nil
 }
 
+// HasCommit reports whether the history of the repository has a commit.
+func HasCommit(root, commit string) bool {
+	cmd := exec.Command("git", "cat-file", "-e", commit+"^{commit}")
+	cmd.Dir = root
+	return cmd.Run() == nil
+}
+
+// BuildCommit compiles the named programs as of a commit into dir.
+func BuildCommit(root, dir, commit string, programs ...string) error {
+	src := filepath.Join(dir, "src")
+	if err := checkOut(root, src, commit); err != nil {
+		return fmt.Errorf("sources of %s: %w", commit, err)
+	}
+	if err := Build(src, dir, programs...); err != nil {
+		return fmt.Errorf("commit %s: %w", commit, err)
+	}
+	return os.RemoveAll(src)
+}
+
+// checkOut writes the files of a commit to dir.
+func checkOut(root, dir, commit string) error {
+	archive := exec.Command("git", "archive", "--format=tar", commit)
+	archive.Dir = root
+	out, err := archive.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := archive.Start(); err != nil {
+		return err
+	}
+	if err := extract(out, dir); err != nil {
+		_ = archive.Process.Kill()
+		_ = archive.Wait()
+		return err
+	}
+	return archive.Wait()
+}
+
+// extract writes the regular files of an archive to dir.
+func extract(archive io.Reader, dir string) error {
+	for r := tar.NewReader(archive); ; {
+		h, err := r.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if h.Typeflag != tar.TypeReg {
+			continue
+		}
+		if err := writeFile(filepath.Join(dir, filepath.FromSlash(h.Name)), r); err != nil {
+			return err
+		}
+	}
+}
+
+func writeFile(path string, content io.Reader) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(f, content); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
 // Process is a program started by a test.
 type Process struct {
 	name string
