Compare samples of the servers only while slots are scarce

Cause: in a large fleet every request compared a sample of the servers and a random cost that grows with the fleet, also when all servers had free slots.

Change: samples, the larger random cost and the reserve for slots apply only while over half of all slots are in use. Below that, placement is as it was.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -143,16 +143,17 @@
 	// with which it is compared.
 	promptlessRequestTokens = 400.0
 	// minJitterTokens is the range of the random cost that distributes requests over servers of
-	// about equal cost. It grows by jitterPerDaemon with each daemon, because daemons that choose
-	// at the same time don't see each other's choices.
-	minJitterTokens = 100.0
-	jitterPerDaemon = 14.0
+	// about equal cost. It grows by jitterPerContender with each daemon that chooses at the same time,
+	// because daemons don't see each other's choices.
+	minJitterTokens    = 100.0
+	jitterPerContender = 14.0
 )
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if
-// there are no candidates. The given number of daemons choose at the same time.
-func Choose(now time.Time, candidates []Candidate, req Request, daemons int, rnd *rand.Rand) int {
-	jitter := max(minJitterTokens, jitterPerDaemon*float64(daemons))
+// there are no candidates. The number of contenders is that of the
+// daemons that choose among the same servers at the same time, with the local one.
+func Choose(now time.Time, candidates []Candidate, req Request, contenders int, rnd *rand.Rand) int {
+	jitter := max(minJitterTokens, jitterPerContender*float64(contenders))
 	best, bestCost := -1, 0.0
 	home := homeIndex(candidates, req)
 	pool := newPoolStats(candidates)
--- a/placement/sample.go
+++ b/placement/sample.go
@@ -4,19 +4,20 @@
 
 // Daemons that place requests at the same time don't see each other's choices. If all of them
 // compared all servers, they would all choose the one that had the least to do when loads were
-// last exchanged. In a large fleet each request therefore compares a random sample of the servers,
-// beside those that may have its prompt cached. This answers bursts of requests that share no
-// prompt parts.
+// last exchanged. While slots are scarce in a large fleet, each request therefore compares a random
+// sample of the servers, beside those that may have its prompt cached. This answers bursts that
+// leave few servers with a free slot.
 
 // minSample is the smallest number of servers in a sample, on average.
 const minSample = 8
 
-// sampleShare returns the share of the servers that a request compares.
-func sampleShare(daemons, servers int) float64 {
-	if daemons <= maxDirectPeers || servers == 0 {
+// sampleShare returns the share of the servers that a request compares while the given number of
+// daemons place requests.
+func sampleShare(contenders, servers int) float64 {
+	if contenders <= maxDirectPeers || servers == 0 {
 		return 1
 	}
-	return min(1, max(float64(maxDirectPeers)/float64(daemons), minSample/float64(servers)))
+	return min(1, max(float64(maxDirectPeers)/float64(contenders), minSample/float64(servers)))
 }
 
 // sample returns the candidates that the request compares: a random share of them, the home of
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -27,8 +27,8 @@
 	// gets no more while others have fewer.
 	maxOccupancy = 1.5
 	// scarceOccupancy is the share of the slots in use from which servers are reserved for the
-	// slots of tight requests, and other requests don't get these. Below it, reading prompts is
-	// what limits the servers.
+	// slots of tight requests, other requests don't get these, and large fleets compare samples of
+	// the servers. Below it, reading prompts is what limits the servers.
 	scarceOccupancy = 0.5
 	// reservedSlotFactor is the ratio between the slots of reserved servers and those that tight
 	// requests use.
@@ -129,8 +129,7 @@
 }
 
 // withRoom returns the candidates that have room for the request, or all if none has.
-func withRoom(candidates []Candidate, req *Request) []Candidate {
-	scarce := slotsScarce(candidates)
+func withRoom(candidates []Candidate, req *Request, scarce bool) []Candidate {
 	var out []Candidate
 	for _, c := range candidates {
 		if c.hasRoom(req, scarce) {
@@ -188,9 +187,7 @@
 		r.share *= math.Exp2(-age.Seconds() / demandHalfLife.Seconds())
 	}
 	r.updatedAt = now
-	if slotsScarce(candidates) {
-		r.share = max(r.share, neededShare(candidates))
-	}
+	r.share = max(r.share, neededShare(candidates))
 	return int(math.Round(r.share * float64(len(candidates))))
 }
 
--- a/placement/slots_test.go
+++ b/placement/slots_test.go
@@ -46,15 +46,16 @@
 }
 
 func TestFullServersGetNoRequestsWhileOthersHaveRoom(t *testing.T) {
+	assert.Assert(t, slotsScarce(occupied(3, 12, 7, 7)) && !slotsScarce(occupied(3, 12, 5, 5)))
 	candidates := occupied(3, 12, 20, 20)
 	candidates[1].Running = 5
 	spare := occupied(3, 12, 3, 3)
 	spare[0].Reserved = true
-	assert.Equal(t, len(withRoom(spare, &Request{})), 3, "reading limits the servers, not slots")
-	assert.Equal(t, len(withRoom(candidates, &Request{})), 1)
+	assert.Equal(t, len(withRoom(spare, &Request{}, false)), 3, "reading limits the servers, not slots")
+	assert.Equal(t, len(withRoom(candidates, &Request{}, true)), 1)
 	candidates[1].Reserved = true
-	assert.Equal(t, len(withRoom(candidates, &Request{Tight: true})), 1)
-	assert.Equal(t, len(withRoom(candidates, &Request{})), 3, "without room anywhere, all are compared")
+	assert.Equal(t, len(withRoom(candidates, &Request{Tight: true}, true)), 1)
+	assert.Equal(t, len(withRoom(candidates, &Request{}, true)), 3, "without room anywhere, all are compared")
 }
 
 func TestSlotWaitCountsRequestsAtLeastAsUrgent(t *testing.T) {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -102,14 +102,19 @@
 	for i, s := range servers {
 		candidates[i] = t.candidate(now, s, req)
 	}
+	contenders := 1
 	if len(req.Prompt) > 0 {
-		markReserved(candidates, t.reservedCount(now, candidates))
+		scarce := slotsScarce(candidates)
+		if scarce {
+			contenders = t.daemons
+		}
+		markReserved(candidates, t.reservedCount(now, candidates, scarce))
 		if refusal := admitBySlots(candidates, &req, t.rnd); refusal != nil {
 			return nil, refusal
 		}
-		candidates = sample(withRoom(candidates, &req), req, sampleShare(t.daemons, len(candidates)), t.rnd)
+		candidates = sample(withRoom(candidates, &req, scarce), req, sampleShare(contenders, len(candidates)), t.rnd)
 	}
-	i := Choose(now, candidates, req, t.daemons, t.rnd)
+	i := Choose(now, candidates, req, contenders, t.rnd)
 	if i < 0 {
 		return nil, nil
 	}
@@ -121,9 +126,14 @@
 
 // reservedCount returns the number of servers to reserve for tight requests. The caller must hold
 // t.mu.
-func (t *Tracker) reservedCount(now time.Time, candidates []Candidate) int {
+func (t *Tracker) reservedCount(now time.Time, candidates []Candidate, scarce bool) int {
 	t.demand.decay(now)
-	return max(t.demand.reservedCount(len(candidates)), t.reserved.count(now, candidates))
+	bySlots := t.reserved.count(now, candidates)
+	byWork := t.demand.reservedCount(len(candidates))
+	if !scarce {
+		return byWork
+	}
+	return max(byWork, bySlots)
 }
 
 // candidate returns the estimated state of a server for a request. The caller
