Keep numbers by urgency in one type

The tokens to read and the requests by urgency had the same methods twice. One type, byUrgency, has them now.

--- a/placement/loads.go
+++ b/placement/loads.go
@@ -5,6 +5,7 @@
 
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/route"
 )
 
 // maxLoadAge is how long the load reported by another daemon is used unless it
@@ -38,14 +39,19 @@
 // id identifies the server instance that the load is on.
 func (l *serverLoad) id() backend.Instance { return backend.Instance{ID: l.Server, Started: l.Started} }
 
-// tokens returns the backlog by urgency.
-func (l *serverLoad) tokens() backlog { return decodeBacklog(l.BacklogByUrgency, l.Backlog) }
+// tokens returns the backlog by urgency. That of daemons of older versions counts as most urgent.
+func (l *serverLoad) tokens() byUrgency {
+	return decodeByUrgency(l.BacklogByUrgency, l.Backlog, 0)
+}
 
-// slots returns the number of requests by urgency.
-func (l *serverLoad) slots() slotCounts { return decodeSlotCounts(l.RunningByUrgency, l.Running) }
+// slots returns the number of requests by urgency. Those of daemons of older versions count as
+// least urgent: nobody is refused because of them.
+func (l *serverLoad) slots() byUrgency {
+	return decodeByUrgency(l.RunningByUrgency, l.Running, route.MaxUrgency)
+}
 
 // setTokens sets the backlog.
-func (l *serverLoad) setTokens(b *backlog) {
+func (l *serverLoad) setTokens(b *byUrgency) {
 	l.Backlog, l.BacklogByUrgency = int32(b.total()), b.encode()
 }
 
@@ -77,8 +83,8 @@
 // remoteLoad is the load of the other daemons on a server.
 type remoteLoad struct {
 	running, tight, used float64
-	backlog              backlog
-	slots                slotCounts
+	backlog              byUrgency
+	slots                byUrgency
 }
 
 func (r *remoteLoad) add(l *serverLoad) {
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -3,10 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
-
-	"github.com/jacinththread/jacinththread/route"
 )
 
 // A server runs as many requests at a time as it has slots and queues a few more. A more urgent
@@ -43,45 +40,6 @@
 	holdSmoothing = 0.05
 )
 
-// slotCounts holds the number of requests at a server, running or queued, by urgency.
-type slotCounts [route.MaxUrgency + 1]int32
-
-// atLeast returns the number of requests that are at least as urgent.
-func (c *slotCounts) atLeast(urgency int) float64 {
-	sum := 0.0
-	for _, n := range c[:urgency+1] {
-		sum += float64(n)
-	}
-	return sum
-}
-
-func (c *slotCounts) add(other *slotCounts) {
-	for i := range c {
-		c[i] += other[i]
-	}
-}
-
-// subtract removes a load that c includes unless it is out of date.
-func (c *slotCounts) subtract(other *slotCounts) {
-	for i := range c {
-		c[i] = max(0, c[i]-other[i])
-	}
-}
-
-// encode returns the counts without their trailing zeros.
-func (c *slotCounts) encode() []int32 { return trimZeros(c[:]) }
-
-// decodeSlotCounts reverts encode. Daemons of older versions report only the total, which then
-// counts as least urgent: nobody is refused because of it.
-func decodeSlotCounts(encoded []int32, total int32) slotCounts {
-	var c slotCounts
-	if len(encoded) == 0 {
-		c[route.MaxUrgency] = total
-	}
-	copy(c[:], encoded)
-	return c
-}
-
 // holdEstimate is a moving average of how long requests occupy a slot.
 type holdEstimate struct{ mean time.Duration }
 
@@ -200,12 +158,3 @@
 	}
 	return min(maxReservedShare, reservedSlotFactor*tight/max(1, slots))
 }
-
-// trimZeros returns a copy of counts without trailing zeros.
-func trimZeros(counts []int32) []int32 {
-	n := len(counts)
-	for n > 0 && counts[n-1] == 0 {
-		n--
-	}
-	return slices.Clone(counts[:n])
-}
--- a/placement/slots_test.go
+++ b/placement/slots_test.go
@@ -87,9 +87,9 @@
 	slots := old.slots()
 	assert.Equal(t, slots.atLeast(route.MaxUrgency-1), 0.0)
 	assert.Equal(t, slots.atLeast(route.MaxUrgency), 7.0)
-	var c slotCounts
+	var c byUrgency
 	c[0], c[3] = 2, 4
-	decoded := decodeSlotCounts(c.encode(), 6)
+	decoded := decodeByUrgency(c.encode(), 6, 0)
 	assert.Equal(t, decoded, c)
 	assert.Equal(t, decoded.atLeast(2), 2.0)
 	assert.Equal(t, decoded.atLeast(3), 6.0)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -58,8 +58,8 @@
 	hash           uint64
 	running        int
 	tight          int
-	backlog        backlog
-	slots          slotCounts
+	backlog        byUrgency
+	slots          byUrgency
 	used           int
 	prefillRate    rateEstimate
 	pauses         pauseHistory
@@ -157,7 +157,7 @@
 		Running:         float64(st.running) + others.running,
 		Tight:           float64(st.tight) + others.tight,
 		Backlog:         total,
-		Ahead:           st.backlog.ahead(req.Urgency) + others.backlog.ahead(req.Urgency),
+		Ahead:           st.backlog.atLeast(req.Urgency) + others.backlog.atLeast(req.Urgency),
 		MemoryUsed:      float64(st.used) + others.used,
 		PrefillRate:     st.prefillRate.orDefault(t.prefillRate.orDefault(defaultPrefillRate)),
 		CachedTokens:    st.cachedTokens(now, req.Prompt),
--- a/placement/versions_test.go
+++ b/placement/versions_test.go
@@ -32,9 +32,9 @@
 	assert.Equal(t, len(received.Loads), 2)
 	l := received.Loads[1]
 	assert.DeepEqual(t, oldLoad{l.Server, l.Started, l.Running, l.Tight, l.Backlog, l.MemoryUsed, l.Parts}, old)
-	assert.Equal(t, l.tokens(), backlog{0: 900})
+	assert.Equal(t, l.tokens(), byUrgency{0: 900})
 
-	b := backlog{2: 400, 5: 500}
+	b := byUrgency{2: 400, 5: 500}
 	l.setTokens(&b)
 	var back oldLoadsMessage
 	peertest.Transmit(t, &loadsMessage{Loads: []serverLoad{l, l}}, &back)
