--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -17,14 +17,14 @@
 // priceList is a load of three classes on servers with few slots. Questions are the most urgent.
 // Digests have long prompts and are the least urgent; for nine seconds there are three times as
 // many as usual, which need more slots than there are. After that, questions increase as much.
-func priceList() modelLoad {
-	return modelLoad{
+func priceList() simLoad {
+	return simLoad{
 		daemons: 74, servers: 112, length: 22 * time.Second,
-		engine: modelEngineConfig{
+		engine: simEngineConfig{
 			slots: 12, queue: 25, stepBase: 3740 * time.Microsecond, stepRunning: 81 * time.Microsecond,
 			stepRead: 12200 * time.Nanosecond, chunkTokens: 2048, tokensPerEvent: 9, memory: 452833,
 		},
-		classes: []modelClass{
+		classes: []simClass{
 			questions: {
 				name: "question", priority: 0, perSec: 126, shared: 198, own: 628, subjects: 1131, spread: 0.7, events: 32,
 				target: 300 * time.Millisecond, gap: 250 * time.Millisecond, deadline: 10 * time.Second,
@@ -38,7 +38,7 @@
 				target: 1500 * time.Millisecond, gap: time.Second, deadline: 12 * time.Second, repeatable: true,
 			},
 		},
-		bursts: []modelBurst{
+		bursts: []simBurst{
 			{class: digests, from: 500 * time.Millisecond, to: 9500 * time.Millisecond, factor: 3.08},
 			{class: questions, from: 11 * time.Second, to: 16 * time.Second, factor: 2.76},
 		},
@@ -60,7 +60,7 @@
 // burst that take all slots and fill the queues of the servers, which then reject and delay more
 // urgent requests and read preempted prompts again.
 func TestUrgentClassesAreServedWhileALessUrgentOneOverloadsTheServers(t *testing.T) {
-	f := newModelFleet(priceList(), 1)
+	f := newSimFleet(priceList(), 1)
 	f.run()
 	t.Logf("servers: %+v, sent again: %d", f.counts, f.repeats)
 	for i, c := range f.load.classes {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -150,8 +150,8 @@
 )
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if
-// there are no candidates. The number of contenders is that of the
-// daemons that choose among the same servers at the same time, with the local one.
+// there are no candidates. The contenders are the daemons that choose among the
+// same servers at the same time, including the local one.
 func Choose(now time.Time, candidates []Candidate, req Request, contenders int, rnd *rand.Rand) int {
 	jitter := max(minJitterTokens, jitterPerContender*float64(contenders))
 	best, bestCost := -1, 0.0
--- a/placement/urgency.go
+++ b/placement/urgency.go
@@ -6,8 +6,8 @@
 	"github.com/jacinththread/jacinththread/route"
 )
 
-// byUrgency holds a number for each urgency of requests at a server, such as the prompt tokens that
-// it has not read yet. A server serves more urgent requests first.
+// byUrgency holds a number for each urgency of requests at a server: its requests, or the prompt
+// tokens that it has not read yet. A server serves more urgent requests first.
 type byUrgency [route.MaxUrgency + 1]int32
 
 // total returns the sum over all urgencies.
--- a/reach/table.go
+++ b/reach/table.go
@@ -48,7 +48,7 @@
 	// lost is the number of servers to which connections fail.
 	lost int64
 	// failed, tunneled and unanswered hold the servers that began to fail in these ways since a response last arrived on
-	// any direct connection, and since when. Those in failed began to since a direct connection was last opened, too.
+	// any direct connection, and since when. Opening a direct connection clears failed as well.
 	failed, tunneled, unanswered evidence
 	// heardAt is when a response last arrived on any direct connection.
 	heardAt   time.Time
