Use loads of other daemons when they arrive

Cause: loads that arrived were kept until the daemon's own next round, so they were up to one interval older than they had to be. The simulation didn't show it: all daemons exchanged loads at the same instant, and what they received was dated by the machine's clock, so that how fast it ran decided whether loads expired.

Change: loads count as soon as they arrive. The simulation's daemons exchange at different times, and an exchange takes the time from a function that tests replace; its figures are now the same in each run.

--- a/placement/exchange.go
+++ b/placement/exchange.go
@@ -75,6 +75,8 @@
 	// nextRefresh is when all loads are reported again.
 	nextRefresh time.Time
 	sent        metrics.Counter
+	// now returns the time. Tests replace it.
+	now func() time.Time
 }
 
 // NewLoadExchange returns a LoadExchange and registers its message handlers with
@@ -83,12 +85,13 @@
 	e := &LoadExchange{
 		tracker: t, bus: bus, fleet: fleet, log: logger, done: make(chan struct{}),
 		sent: metrics.GetOrRegisterCounter("placement.load_messages", registry),
+		now:  time.Now,
 	}
 	bus.Handle(peer.KindServerLoads, func() peer.Message { return new(loadsMessage) }, func(from string, m peer.Message) {
-		t.receiveLoads(from, m.(*loadsMessage), time.Now())
+		t.receiveLoads(from, m.(*loadsMessage), e.now())
 	})
 	bus.Handle(peer.KindServerTotals, func() peer.Message { return new(totalsMessage) }, func(_ string, m peer.Message) {
-		t.receiveTotals(m.(*totalsMessage), time.Now())
+		t.receiveTotals(m.(*totalsMessage), e.now())
 	})
 	return e
 }
@@ -118,7 +121,7 @@
 			timer.Stop()
 			return
 		case <-timer.C:
-			e.round(fleet, time.Now())
+			e.round(fleet, e.now())
 		}
 	}
 }
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -161,6 +161,9 @@
 		t.queuedParts[instance] = append(t.queuedParts[instance], l.Parts...)
 		l.Parts = nil
 		t.peerLoads[instance][from] = peerLoad{receivedAt: now, load: l}
+		if len(t.peerLoads[instance]) <= maxDirectPeers {
+			t.updateFromPeers(instance, now)
+		}
 	}
 }
 
@@ -170,6 +173,12 @@
 	defer t.mu.Unlock()
 	t.recordParts(m.Loads, now)
 	t.totals[m.Shard] = receivedTotals{receivedAt: now, loads: m.Loads}
+	for instance := range t.remote {
+		if shardOf(instance.ID) == m.Shard {
+			delete(t.remote, instance)
+		}
+	}
+	t.updateFromTotals(m.Loads)
 }
 
 // recordParts records that the parts of the loads were sent to their servers.
@@ -189,24 +198,42 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	clear(t.remote)
-	for instance := range t.peerLoads {
-		if r := t.sumPeerLoads(instance, now); r != (remoteLoad{}) {
-			t.remote[instance] = r
-		}
-	}
 	for shard, m := range t.totals {
 		if now.Sub(m.receivedAt) > maxLoadAge {
 			delete(t.totals, shard)
 			continue
 		}
-		for _, l := range m.loads {
-			var r remoteLoad
-			r.add(&l)
-			if st := t.servers[l.id()]; st != nil {
-				r.subtract(st.reported)
-			}
-			t.remote[l.id()] = r
+		t.updateFromTotals(m.loads)
+	}
+	for instance := range t.peerLoads {
+		t.updateFromPeers(instance, now)
+	}
+}
+
+// updateFromPeers recomputes the load of the other daemons on a server from their own reports, unless totals are
+// known. The caller must hold t.mu.
+func (t *Tracker) updateFromPeers(instance backend.Instance, now time.Time) {
+	r := t.sumPeerLoads(instance, now)
+	if _, known := t.totals[shardOf(instance.ID)]; known {
+		return
+	}
+	if r == (remoteLoad{}) {
+		delete(t.remote, instance)
+		return
+	}
+	t.remote[instance] = r
+}
+
+// updateFromTotals sets the load of the other daemons on the servers of a shard that have any. The caller must hold
+// t.mu.
+func (t *Tracker) updateFromTotals(loads []serverLoad) {
+	for _, l := range loads {
+		var r remoteLoad
+		r.add(&l)
+		if st := t.servers[l.id()]; st != nil {
+			r.subtract(st.reported)
 		}
+		t.remote[l.id()] = r
 	}
 }
 
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -71,17 +71,18 @@
 // round lets each daemon send its loads once and then recompute the remote
 // loads.
 func (d *testFleet) round(at time.Time) {
-	d.send(at)
+	for i := range d.names {
+		d.roundOf(i, at)
+	}
 	for _, name := range d.names {
 		d.trackers[name].updateRemote(at)
 	}
 }
 
-// send lets each daemon send its loads once. Daemons that do so earlier don't know of those that follow.
-func (d *testFleet) send(at time.Time) {
-	for _, name := range d.names {
-		d.exchanges[name].round(d.fleets[name], at)
-	}
+// roundOf lets a daemon send its loads once.
+func (d *testFleet) roundOf(daemon int, at time.Time) {
+	name := d.names[daemon]
+	d.exchanges[name].round(d.fleets[name], at)
 }
 
 func (d *testFleet) tracker(i int) *Tracker { return d.trackers[d.names[i]] }
--- a/placement/sim_fleet_test.go
+++ b/placement/sim_fleet_test.go
@@ -138,6 +138,9 @@
 		load: load, rnd: rand.New(rand.NewPCG(seed, 11)), start: time.Unix(1000, 0),
 		daemons: newTestFleet(load.daemons), engines: map[*backend.Server]*simEngine{},
 	}
+	for _, e := range f.daemons.exchanges {
+		e.now = f.clock
+	}
 	for i := range load.servers {
 		s := &backend.Server{ID: fmt.Sprint("server-", i), Service: "engines", Domain: fmt.Sprint("d", i%3), Slots: load.engine.slots}
 		f.servers = append(f.servers, s)
@@ -159,7 +162,9 @@
 	for i := range f.load.classes {
 		f.scheduleArrival(i)
 	}
-	f.scheduleRound()
+	for i := range f.load.daemons {
+		f.after(time.Duration(f.rnd.Int64N(int64(f.interval()))), func() { f.scheduleRound(i) })
+	}
 	for f.events.Len() > 0 {
 		e := heap.Pop(&f.events).(simEvent)
 		f.now = e.at
@@ -167,15 +172,17 @@
 	}
 }
 
-// scheduleRound makes the daemons exchange their loads.
-func (f *simFleet) scheduleRound() {
-	interval := max(shareInterval, time.Duration(f.load.daemons-1)*intervalPerDaemon)
-	f.after(interval, func() {
-		f.daemons.send(f.clock())
-		if f.now < f.load.length || f.open > 0 {
-			f.scheduleRound()
-		}
-	})
+// interval returns the time between two exchanges of loads.
+func (f *simFleet) interval() time.Duration {
+	return max(shareInterval, time.Duration(f.load.daemons-1)*intervalPerDaemon)
+}
+
+// scheduleRound makes a daemon exchange its loads from now on.
+func (f *simFleet) scheduleRound(daemon int) {
+	f.daemons.roundOf(daemon, f.clock())
+	if f.now < f.load.length || f.open > 0 {
+		f.after(f.interval(), func() { f.scheduleRound(daemon) })
+	}
 }
 
 // rate returns the rate of a class now.
