Count a wait for the last slots of a server before they are in use

Cause: a wait was expected only from the request on that finds all known slots in use. Requests that other daemons had sent meanwhile took the last ones, and a few cached tokens made such a server cheaper than one that was half empty.

Change: the wait counts from three quarters of the slots on. The simulation now plays both sizes.

--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 // many as usual, which need more slots than there are. After that, questions increase as much.
 func priceList() simLoad {
 	return simLoad{
-		daemons: 74, servers: 112, length: 22 * time.Second,
+		servers: 112, length: 22 * time.Second,
 		engine: simEngineConfig{
 			slots: 12, queue: 25, stepBase: 3740 * time.Microsecond, stepRunning: 81 * time.Microsecond,
 			stepRead: 12200 * time.Nanosecond, chunkTokens: 2048, tokensPerEvent: 9, memory: 452833,
@@ -56,11 +57,21 @@
 	settled = 20 * time.Second
 )
 
-// TestUrgentClassesAreServedWhileALessUrgentOneOverloadsTheServers guards against requests of a
-// burst that take all slots and fill the queues of the servers, which then reject and delay more
-// urgent requests and read preempted prompts again.
+// It guards against a burst of a less urgent class that takes all slots and fills the queues of the servers.
 func TestUrgentClassesAreServedWhileALessUrgentOneOverloadsTheServers(t *testing.T) {
-	f := newSimFleet(priceList(), 1)
+	for _, daemons := range []int{7, 74} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			load := priceList()
+			load.daemons = daemons
+			checkUrgentServed(t, load)
+		})
+	}
+}
+
+// checkUrgentServed plays a load of the classes of priceList and checks what callers get.
+func checkUrgentServed(t *testing.T, load simLoad) {
+	f := newSimFleet(load, 1)
 	f.run()
 	t.Logf("servers: %+v, sent again: %d", f.counts, f.repeats)
 	for i, c := range f.load.classes {
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -54,13 +54,14 @@
 	h.mean = h.orDefault() + time.Duration(holdSmoothing*float64(held-h.orDefault()))
 }
 
-// slotWait returns how long a request waits for a slot of the server behind those that are at
-// least as urgent.
+// slotWait returns how long a request is expected to wait for a slot of the server behind those that
+// are at least as urgent. The last slots count as used, because requests that aren't known yet may
+// take them.
 func (c *Candidate) slotWait(hold time.Duration) time.Duration {
-	if c.Slots == 0 || c.AtLeastAsUrgent < float64(c.Slots) {
+	queued := c.AtLeastAsUrgent - openOccupancy*float64(c.Slots) + 1
+	if c.Slots == 0 || queued < 0 {
 		return 0
 	}
-	queued := c.AtLeastAsUrgent - float64(c.Slots) + 1
 	return time.Duration(queued / float64(c.Slots) * float64(hold))
 }
 
--- a/placement/slots_test.go
+++ b/placement/slots_test.go
@@ -60,8 +60,9 @@
 
 func TestSlotWaitCountsRequestsAtLeastAsUrgent(t *testing.T) {
 	c := occupied(1, 12, 30, 11)[0]
+	c.AtLeastAsUrgent = 7
 	assert.Equal(t, c.slotWait(2*time.Second), time.Duration(0), "a less urgent request is preempted")
-	c.AtLeastAsUrgent = 17
+	c.AtLeastAsUrgent = 14
 	assert.Equal(t, c.slotWait(2*time.Second), time.Second)
 }
 
