Size samples by the servers that are meant for the request

Cause: a sample held eight of 112 servers, of which one or none was reserved for requests with tight objectives.

Change: a sample holds at least eight of the servers that are meant for the request.

--- a/placement/sample.go
+++ b/placement/sample.go
@@ -38,3 +38,15 @@
 	}
 	return out
 }
+
+// meantFor returns the number of candidates that are meant for the request: the reserved ones if it is tight, the
+// others if not.
+func meantFor(candidates []Candidate, req *Request) int {
+	n := 0
+	for i := range candidates {
+		if candidates[i].Reserved == req.Tight {
+			n++
+		}
+	}
+	return n
+}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -112,7 +112,7 @@
 		if refusal := admitBySlots(candidates, &req, t.rnd); refusal != nil {
 			return nil, refusal
 		}
-		candidates = sample(withRoom(candidates, &req, scarce), req, sampleShare(contenders, len(candidates)), t.rnd)
+		candidates = sample(withRoom(candidates, &req, scarce), req, sampleShare(contenders, meantFor(candidates, &req)), t.rnd)
 	}
 	i := Choose(now, candidates, req, contenders, t.rnd)
 	if i < 0 {
