Reserve servers for the slots of tight requests before slots are scarce

Cause: until half of the slots were in use, servers were reserved by the share of the work alone, which a burst of long prompts lowers to a few.

Change: the reserve by slots counts from the first request on. Other requests still get reserved servers until slots are scarce, at a higher cost as before. The starting share of a quarter, which that cause had asked for, is gone.

--- a/placement/slots.go
+++ b/placement/slots.go
@@ -23,9 +23,9 @@
 	// maxOccupancy is the number of requests at a server, relative to its slots, above which it
 	// gets no more while others have fewer.
 	maxOccupancy = 1.5
-	// scarceOccupancy is the share of the slots in use from which servers are reserved for the
-	// slots of tight requests, other requests don't get these, and large fleets compare samples of
-	// the servers. Below it, reading prompts is what limits the servers.
+	// scarceOccupancy is the share of the slots in use from which reserved servers get no other
+	// requests, and large fleets compare samples of the servers. Below it, reading prompts is what
+	// limits the servers.
 	scarceOccupancy = 0.5
 	// reservedSlotFactor is the ratio between the slots of reserved servers and those that tight
 	// requests use.
@@ -140,9 +140,7 @@
 	if len(candidates) < minReservedPool || candidates[0].Slots == 0 {
 		return 0
 	}
-	if r.updatedAt.IsZero() {
-		r.share = defaultReservedShare
-	} else if age := now.Sub(r.updatedAt); age > 0 {
+	if age := now.Sub(r.updatedAt); age > 0 {
 		r.share *= math.Exp2(-age.Seconds() / demandHalfLife.Seconds())
 	}
 	r.updatedAt = now
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -108,7 +108,7 @@
 		if scarce {
 			contenders = t.daemons
 		}
-		markReserved(candidates, t.reservedCount(now, candidates, scarce))
+		markReserved(candidates, t.reservedCount(now, candidates))
 		if refusal := admitBySlots(candidates, &req, t.rnd); refusal != nil {
 			return nil, refusal
 		}
@@ -126,14 +126,9 @@
 
 // reservedCount returns the number of servers to reserve for tight requests. The caller must hold
 // t.mu.
-func (t *Tracker) reservedCount(now time.Time, candidates []Candidate, scarce bool) int {
+func (t *Tracker) reservedCount(now time.Time, candidates []Candidate) int {
 	t.demand.decay(now)
-	bySlots := t.reserved.count(now, candidates)
-	byWork := t.demand.reservedCount(len(candidates))
-	if !scarce {
-		return byWork
-	}
-	return max(byWork, bySlots)
+	return max(t.demand.reservedCount(len(candidates)), t.reserved.count(now, candidates))
 }
 
 // candidate returns the estimated state of a server for a request. The caller
