--- a/policy/assign.go
+++ b/policy/assign.go
@@ -30,6 +30,11 @@
 	return daemons[best]
 }
 
+// AssignScore returns the score of a daemon for a server: Assign returns the daemon with the highest one.
+func AssignScore(server, daemon string) uint64 {
+	return pairHash(xxhash.Sum64String(server), xxhash.Sum64String(daemon))
+}
+
 // AssignAll returns the daemon that schedules each server, in the order of the
 // servers.
 func AssignAll(servers, daemons []string) []string {
