--- /dev/null
+++ b/metering/leader.go
@@ -0,0 +1,351 @@
+package metering
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/jacinththread/jacinththread/election"
+	"github.com/jacinththread/jacinththread/kernel"
+	"github.com/jacinththread/jacinththread/peer"
+	"github.com/jacinththread/jacinththread/store"
+)
+
+// Role is the role of the daemon that reports usage.
+const Role = "metering"
+
+// ReportsKey is the key of the stored reports.
+const ReportsKey = "metering/reports"
+
+const (
+	leaderTick = 250 * time.Millisecond
+	// storeTimeout and reportTimeout bound a call to the store and a report.
+	storeTimeout  = 1500 * time.Millisecond
+	reportTimeout = 1500 * time.Millisecond
+	// maxStored is the number of reports kept in the store and in memory.
+	maxStored = 8
+)
+
+// Report is the usage in one window. The counts of a window never change once it is stored.
+type Report struct {
+	// Window is the number of the window.
+	Window int64 `json:"window"`
+	// Counts holds the number of requests that servers began, by customer.
+	Counts map[string]int64 `json:"counts"`
+}
+
+// Total returns the number of requests of all customers.
+func (r *Report) Total() int64 {
+	sum := int64(0)
+	for _, n := range r.Counts {
+		sum += n
+	}
+	return sum
+}
+
+// ErrRejected means that the receiver will not take a report, however often it is repeated.
+var ErrRejected = errors.New("usage report was rejected")
+
+// Reporter sends a report to the platform. It checks the term right before it sends. Repeating a report is safe.
+type Reporter interface {
+	ReportUsage(ctx context.Context, t *election.Term, r *Report) error
+}
+
+// Config configures a Leader.
+type Config struct {
+	Windows  Windows
+	Store    store.Transactor
+	Reporter Reporter
+	// Term returns the local daemon's term, or nil while another one leads.
+	Term func() *election.Term
+	// Daemons returns the addresses of the live daemons, including the local one.
+	Daemons func() []string
+	Clock   func() time.Duration
+	Bus     peer.Bus
+	Log     *log.Logger
+	Metrics metrics.Registry
+}
+
+// Leader is the service that decides and reports windows while the local daemon leads the role.
+type Leader struct {
+	*kernel.Periodic
+	cfg Config
+
+	mu sync.Mutex
+	// term is the term that the state below belongs to.
+	term      *election.Term
+	collector *collector
+	// loaded is set when the stored reports are known; revision is that of their record.
+	loaded   bool
+	revision store.Revision
+	stored   []Report
+	status   map[int64]*Status
+
+	reported, late, partial metrics.Counter
+}
+
+// Status is the state of a window at the leader, for operators.
+type Status struct {
+	Window   int64    `json:"window"`
+	Requests int64    `json:"requests"`
+	Missing  []string `json:"missing,omitempty"`
+	Sent     bool     `json:"sent"`
+	Rejected bool     `json:"rejected,omitempty"`
+	Tries    int      `json:"tries"`
+	Error    string   `json:"error,omitempty"`
+}
+
+// NewLeader returns a service that has not been started and registers its message handler.
+func NewLeader(cfg Config) *Leader {
+	l := &Leader{
+		cfg: cfg, collector: newCollector(), status: map[int64]*Status{},
+		reported: metrics.GetOrRegisterCounter("metering.reported", cfg.Metrics),
+		late:     metrics.GetOrRegisterCounter("metering.overdue", cfg.Metrics),
+		partial:  metrics.GetOrRegisterCounter("metering.partial", cfg.Metrics),
+	}
+	l.Periodic = kernel.NewPeriodic(leaderTick, func(time.Time) { l.tick(context.Background()) })
+	cfg.Bus.Handle(peer.KindUsageCounts, func() peer.Message { return new(countsMessage) }, l.onCounts)
+	return l
+}
+
+// onCounts takes in the counts of a daemon. Counts that are meant for another term are not confirmed.
+func (l *Leader) onCounts(from string, m peer.Message) {
+	msg := m.(*countsMessage)
+	l.mu.Lock()
+	if !l.leads() || msg.Token != uint64(l.term.Token) {
+		l.mu.Unlock()
+		return
+	}
+	to := l.collector.add(from, msg, l.cfg.Clock())
+	l.mu.Unlock()
+	if err := l.cfg.Bus.Send(from, &confirmMessage{Run: msg.Run, Token: msg.Token, To: to}); err != nil {
+		l.cfg.Log.Debug("confirming usage counts failed", "daemon", from, "err", err)
+	}
+}
+
+// leads reports whether the local daemon leads. The state of an earlier term is dropped. The caller must hold l.mu.
+func (l *Leader) leads() bool {
+	t := l.cfg.Term()
+	if t == nil {
+		return false
+	}
+	if t != l.term {
+		l.term, l.collector, l.loaded, l.stored, l.status = t, newCollector(), false, nil, map[int64]*Status{}
+	}
+	return true
+}
+
+// tick considers all windows that have ended and are not overdue.
+func (l *Leader) tick(ctx context.Context) {
+	l.mu.Lock()
+	leads := l.leads()
+	term := l.term
+	l.mu.Unlock()
+	if !leads {
+		return
+	}
+	if err := l.load(ctx, term); err != nil {
+		l.cfg.Log.Warn("reading the stored usage reports failed", "err", err)
+		return
+	}
+	for _, r := range l.due(ctx, term) {
+		l.send(ctx, term, r)
+	}
+}
+
+// load reads the reports that earlier leaders have stored.
+func (l *Leader) load(ctx context.Context, term *election.Term) error {
+	l.mu.Lock()
+	loaded := l.loaded
+	l.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := l.cfg.Store.Get(ctx, ReportsKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	var reports []Report
+	if err == nil {
+		if err := json.Unmarshal(entry.Value, &reports); err != nil {
+			return err
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == term {
+		l.stored, l.revision, l.loaded = reports, entry.Revision, true
+	}
+	return nil
+}
+
+// due returns the stored reports that are to be sent. It decides and stores further windows first.
+func (l *Leader) due(ctx context.Context, term *election.Term) []Report {
+	decided, first := l.decide()
+	if len(decided) > 0 {
+		if err := l.store(ctx, term, decided); err != nil {
+			l.cfg.Log.Warn("storing usage reports failed", "first", decided[0].Window, "windows", len(decided), "err", err)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Report
+	for _, r := range l.stored {
+		if s := l.status[r.Window]; r.Window >= first && (s == nil || !s.Sent && !s.Rejected) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// decide returns the reports of the windows that are decided now, and the first window that isn't overdue.
+func (l *Leader) decide() (decided []Report, first int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Clock()
+	wallAhead, ok := l.collector.wallAhead(now)
+	covered, any := l.collector.coveredSince()
+	if !ok || !any {
+		return nil, 0
+	}
+	w := l.cfg.Windows
+	first, last := w.open(now + wallAhead)
+	for window := first; window <= last; window++ {
+		if l.isStored(window) {
+			continue
+		}
+		end := w.end(window) - wallAhead
+		missing := l.collector.missing(l.cfg.Daemons(), end)
+		switch w.consider(window, windowState{now: now + wallAhead, coveredSince: covered + wallAhead, missing: len(missing)}) {
+		case decide:
+			l.status[window] = &Status{Window: window, Missing: missing}
+			decided = append(decided, Report{Window: window, Counts: l.collector.window(end-w.Length, end)})
+		case wait, skip:
+		}
+	}
+	l.collector.forget(now - w.kept() - w.Length)
+	return decided, first
+}
+
+func (l *Leader) isStored(window int64) bool {
+	return slices.ContainsFunc(l.stored, func(r Report) bool { return r.Window == window })
+}
+
+// store adds reports to those in the store. The write has no effect if another daemon leads or has stored
+// reports since; an earlier write whose outcome is unknown then can't take effect later.
+func (l *Leader) store(ctx context.Context, term *election.Term, decided []Report) error {
+	l.mu.Lock()
+	all := append(slices.Clone(l.stored), decided...)
+	revision := l.revision
+	l.mu.Unlock()
+	all = all[max(0, len(all)-maxStored):]
+	value, err := json.Marshal(all)
+	if err != nil {
+		return err
+	}
+	txn := store.Txn{
+		If:   []store.Condition{term.Fence(), {Key: ReportsKey, Revision: revision}},
+		Puts: []store.Put{{Key: ReportsKey, Value: value}},
+	}
+	var stored store.Revision
+	err = term.Do(ctx, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		var err error
+		stored, err = l.cfg.Store.Commit(ctx, txn)
+		return err
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != term {
+		return election.ErrTermEnded
+	}
+	if err != nil {
+		// What is stored now is read before anything else is decided.
+		l.loaded = false
+		return err
+	}
+	l.stored, l.revision = all, stored
+	for _, r := range decided {
+		l.logDecided(&r)
+	}
+	return nil
+}
+
+// logDecided records a decided window. The caller must hold l.mu.
+func (l *Leader) logDecided(r *Report) {
+	s := l.status[r.Window]
+	s.Requests = r.Total()
+	if len(s.Missing) > 0 {
+		l.partial.Inc(1)
+	}
+	l.cfg.Log.Info("usage window decided", "window", r.Window, "requests", s.Requests, "customers", len(r.Counts), "missing", s.Missing)
+}
+
+// send reports a window.
+func (l *Leader) send(ctx context.Context, term *election.Term, r Report) {
+	err := term.Do(ctx, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		return l.cfg.Reporter.ReportUsage(ctx, term, &r)
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != term {
+		return
+	}
+	s := l.status[r.Window]
+	if s == nil {
+		s = &Status{Window: r.Window, Requests: r.Total()}
+		l.status[r.Window] = s
+	}
+	s.Tries++
+	s.Error = ""
+	if err != nil {
+		s.Error, s.Rejected = err.Error(), errors.Is(err, ErrRejected)
+		l.cfg.Log.Warn("reporting usage failed", "window", r.Window, "token", uint64(term.Token), "tries", s.Tries, "err", err)
+		return
+	}
+	s.Sent = true
+	l.reported.Inc(1)
+	l.cfg.Log.Info("usage reported", "window", r.Window, "requests", s.Requests, "token", uint64(term.Token), "tries", s.Tries)
+	l.forgetStatus()
+}
+
+// forgetStatus drops the oldest states of windows. The caller must hold l.mu.
+func (l *Leader) forgetStatus() {
+	windows := slices.Sorted(maps.Keys(l.status))
+	for _, w := range windows[:max(0, len(windows)-maxStored)] {
+		if !l.status[w].Sent {
+			l.late.Inc(1)
+		}
+		delete(l.status, w)
+	}
+}
+
+// Leads reports whether the local daemon leads the role.
+func (l *Leader) Leads() bool { return l.cfg.Term() != nil }
+
+// Recent returns the states of the last windows of the present term, oldest first. It is empty on daemons that don't
+// lead.
+func (l *Leader) Recent() []Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Status
+	if l.term == nil || l.cfg.Term() != l.term {
+		return out
+	}
+	for _, w := range slices.Sorted(maps.Keys(l.status)) {
+		out = append(out, *l.status[w])
+	}
+	return out
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -59,6 +59,9 @@
 	KindStreamQuery  Kind = 73
 	KindStreamReply  Kind = 74
 
+	KindUsageCounts  Kind = 104
+	KindUsageConfirm Kind = 105
+
 	KindClaim      Kind = 64
 	KindClaimReply Kind = 65
 )
