--- a/backend/backend.go
+++ b/backend/backend.go
@@ -44,6 +44,8 @@
 	Slots int
 	// Draining servers receive no new requests.
 	Draining bool
+	// Reclaimable servers cost less and may be taken away at any time. Reclaimed is set once one is.
+	Reclaimable, Reclaimed bool
 	// ColdUntil is when the server has warmed up and reaches full speed.
 	ColdUntil time.Time
 	// Started is the start time in Unix milliseconds by the server's own clock.
@@ -122,6 +124,17 @@
 	return all
 }
 
+// Servers returns all servers of a service, draining or not.
+func (c *Catalog) Servers(service string) []*Server {
+	var out []*Server
+	for _, s := range c.snap.Load().byID {
+		if s.Service == service {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Known reports whether this instance of a server is in the catalog, draining or
 // not.
 func (c *Catalog) Known(instance Instance) bool {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -45,6 +45,8 @@
 	// prefillRate is the rate over all servers, used for servers without
 	// samples.
 	prefillRate rateEstimate
+	// promptSize is how many tokens of a prompt servers have to read.
+	promptSize promptSize
 	// hold is how long requests with a prompt occupy a slot.
 	hold holdEstimate
 	// daemons is the number of live daemons.
@@ -214,6 +216,9 @@
 	if f.tight {
 		st.tight++
 	}
+	if len(req.Prompt) > 0 {
+		t.promptSize.observe(uncached)
+	}
 	st.backlog[f.urgency] += int32(f.pendingTokens)
 	st.used += f.used
 	for i, p := range req.Prompt {
--- a/route/config.go
+++ b/route/config.go
@@ -86,6 +86,20 @@
 	MaxConns int
 	// Engine is nil for services that do not run a language model.
 	Engine *Engine
+	// Scaling is nil if servers of the service can't be ordered.
+	Scaling *Scaling
+}
+
+// Scaling tells how servers of a service may be ordered.
+type Scaling struct {
+	// Min and Max bound the servers in each failure domain.
+	Min, Max int
+	// Boot is how long a server takes to start.
+	Boot time.Duration
+	// ReclaimablePrice is the price of a reclaimable server relative to another one; zero if there are none.
+	ReclaimablePrice float64
+	// Prices are those of a server's second by failure domain.
+	Prices map[string]float64
 }
 
 // Engine describes the model servers of a service.
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -72,6 +73,9 @@
 // or zero if none has one.
 func (t *Table) MinGapTarget(service string) time.Duration { return t.minGapTargets[service] }
 
+// Services returns the services of the configuration, in no order.
+func (t *Table) Services() []*Service { return slices.Collect(maps.Values(t.services)) }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.version }
 
