Report usage and order servers on platforms that ask for it

Callers and owners saw: usage of no window reported, all servers on demand at all times. Cause: the daemon didn't read the control API from its settings, nor who leads, nor the bounds and prices of services. The settings turn the roles on (without a control API nothing changes); the adapter calls the API on connections that send nothing after the term and discard what is held up; forward counts requests when their first event or response comes; the store's client writes under conditions. jacinththreadctl leaders, usage and autoscaling show them; logs, metrics, pages for operators. A planned stop resigns first.

--- a/autoscale/demand.go
+++ b/autoscale/demand.go
@@ -13,7 +13,7 @@
 	targetMemory    = 0.45
 	// targetUnread is the number of unread prompts for each server at which there are as many servers as needed.
 	// Servers read one prompt at a time, and the first event comes some decoding steps after it.
-	targetUnread = 2.0
+	targetUnread = 1.6
 	// holdBoots is for how many boot times the highest demand counts.
 	holdBoots = 3
 	// smoothing is the time in which a change of the use counts by half.
--- a/cmd/jacinththread-entry/main.go
+++ b/cmd/jacinththread-entry/main.go
@@ -53,7 +53,7 @@
 
 // run runs the daemon until it stops and returns the exit code.
 func run(o options) int {
-	s, storeAddr, err := platform.ReadSettings(o.Settings)
+	s, addrs, err := platform.ReadSettings(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -77,7 +77,7 @@
 	}
 	defer tracing.Flush(flushTimeout, logger)
 	instruments := entry.Instruments{Log: logger, Metrics: registry, Tracer: tracing.Tracer}
-	if err := entry.New(s, adapter(o.Settings, storeAddr, registry), instruments).Run(); err != nil {
+	if err := entry.New(s, adapter(o.Settings, addrs, registry), instruments).Run(); err != nil {
 		logger.Error("daemon failed", "err", err)
 		return exitFailed
 	}
@@ -85,19 +85,22 @@
 }
 
 // adapter returns the adapter to the platform. Reloading the settings from path
-// also changes the address of the store.
-func adapter(path, storeAddr string, registry metrics.Registry) entry.Adapter {
-	kv := platform.NewKV(storeAddr, registry)
+// also changes the addresses of the platform's services.
+func adapter(path string, addrs platform.Addresses, registry metrics.Registry) entry.Adapter {
+	kv := platform.NewKV(addrs.Store, registry)
+	control := platform.NewControl(addrs.Control, registry)
 	reload := func() (*entry.Settings, error) {
-		s, addr, err := platform.ReadSettings(path)
+		s, addrs, err := platform.ReadSettings(path)
 		if err != nil {
 			return nil, err
 		}
-		kv.SetAddr(addr)
+		kv.SetAddr(addrs.Store)
+		control.SetAddr(addrs.Control)
 		return s, nil
 	}
 	return entry.Adapter{
-		Source: kv, Registry: kv, Blocks: kv, Decoder: platform.Records{}, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
+		Source: kv, Registry: kv, Blocks: kv, Store: kv, Usage: control, Orders: control,
+		Decoder: platform.Records{}, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
 		DirectoryPath: platform.DirectoryPath, ReadyPath: platform.ReadyPath,
 		DirectoryBody: platform.HeaderCodec{}.Directory,
 	}
--- a/ctl/client/operator.go
+++ b/ctl/client/operator.go
@@ -69,6 +69,11 @@
 	return o.do(ctx, http.MethodGet, "/v1/"+name, nil)
 }
 
+// Fetch returns the document at a URL path.
+func (o *Operator) Fetch(ctx context.Context, path string) (Document, error) {
+	return o.do(ctx, http.MethodGet, path, nil)
+}
+
 func proposalPath(changeID string) string {
 	return "/v1/bundle/proposals/" + url.PathEscape(changeID)
 }
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -20,7 +20,8 @@
 
 func commands() []commandSpec {
 	specs := []commandSpec{bundleSpec(), entriesSpec(), sendSpec(), loadSpec(), reportSpec(), completionSpec()}
-	return append(specs, listSpecs()...)
+	specs = append(specs, listSpecs()...)
+	return append(specs, entrySpecs()...)
 }
 
 func entriesSpec() commandSpec {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -12,11 +12,14 @@
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/jacinththread/jacinththread/autoscale"
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
+	"github.com/jacinththread/jacinththread/election"
 	"github.com/jacinththread/jacinththread/holdoff"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/membership"
+	"github.com/jacinththread/jacinththread/metering"
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/notice"
 	"github.com/jacinththread/jacinththread/peer"
@@ -58,8 +61,15 @@
 	leavingServers *notice.LeavingServers
 	quarantine     *quarantine.List
 	members        *membership.Service
-	fleet          fleet
-	callers        *ingress.Server
+	// elections are those of the roles that the settings ask for. usage counts for the metering role and is
+	// nil without it.
+	elections []*election.Election
+	usage     *metering.Counter
+	// metering and autoscaler are nil unless the settings ask for them.
+	metering   *metering.Leader
+	autoscaler *autoscale.Controller
+	fleet      fleet
+	callers    *ingress.Server
 	// resolve returns the peer address of a daemon. It is nil until the membership
 	// service exists, which itself needs the peer service.
 	resolve atomic.Pointer[func(string) (string, bool)]
@@ -95,6 +105,7 @@
 	d.pool = upstream.NewPool(upstream.Config{
 		Connector: d.connector, ParseNotice: d.parseNotice, Observe: d.notices.Receive, Metrics: d.metrics,
 	})
+	d.newElections()
 	d.fleet.self = placement.Peer{Name: s.Peers, Domain: s.Domain}
 	d.fleet.daemons = func() []membership.Daemon { return d.members.Daemons() }
 	return d
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -40,6 +40,10 @@
 	leavingName      = "notice.exchange"
 	quarantineName   = "quarantine.exchange"
 	blocksName       = "quarantine.store"
+	meteringName     = "metering"
+	usageName        = "metering.sender"
+	autoscaleName    = "autoscale"
+	electionsName    = "election"
 )
 
 const (
@@ -87,6 +91,7 @@
 		{Name: readyName, New: d.newReady},
 		{Name: callersName, Requires: []string{peerName, membershipName, followerName}, New: d.newCallers},
 	}
+	modules = append(modules, d.leaderModules()...)
 	if d.settings.Metrics != "" {
 		modules = append(modules, kernel.Module{Name: metricsName, New: d.newMetrics})
 	}
@@ -204,6 +209,7 @@
 func (d *Daemon) newMetrics(kernel.Registry) (kernel.Service, error) {
 	router := mux.NewRouter()
 	telemetry.Routes(router, d.metrics, d.ready)
+	d.viewRoutes(router)
 	return newListener(d.settings.Metrics, http.Handler(router), d.log), nil
 }
 
@@ -214,6 +220,7 @@
 	}
 	f := forward.New(forward.Config{
 		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget, Limits: d.rateLimits, HoldOffs: d.holdOffs, Notices: d.notices, SlotShares: slotshare.New(d.settings.Peers, d.fleet.Ring), Quarantine: d.quarantine,
+		Usage:       d.usage,
 		Streams:     resume.New(node, d.fleet.Ring, d.log, d.metrics),
 		HeaderCodec: d.adapter.HeaderCodec, Domain: d.settings.Domain, CatalogFreshness: d.catalogFreshness, Log: d.log, Metrics: d.metrics, Tracer: d.tracer,
 	})
--- a/entry/run.go
+++ b/entry/run.go
@@ -78,6 +78,9 @@
 func (d *Daemon) drain() {
 	start := time.Now()
 	d.leaving.Store(true)
+	for _, e := range d.elections {
+		go e.Resign()
+	}
 	d.carrier.Leave()
 	d.members.Leave()
 	d.callers.CloseAfterResponses()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,9 +8,11 @@
 	"context"
 	"time"
 
+	"github.com/jacinththread/jacinththread/autoscale"
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/forward"
+	"github.com/jacinththread/jacinththread/metering"
 	"github.com/jacinththread/jacinththread/mirror"
 	"github.com/jacinththread/jacinththread/reach"
 	"github.com/jacinththread/jacinththread/route"
@@ -46,6 +48,13 @@
 	MaxDirectoryTTL time.Duration
 	// Budget limits retries across all daemons.
 	Budget budget.Limit
+
+	// LeaderLease is the duration of the leases of daemons that act for all.
+	LeaderLease time.Duration
+	// Usage describes the windows in which usage is reported; a zero length means that it isn't.
+	Usage metering.Windows
+	// Autoscaling is set if servers are ordered.
+	Autoscaling bool
 }
 
 // Keys of the records that the daemon mirrors.
@@ -94,7 +103,12 @@
 	Source   mirror.Source
 	Registry Registry
 	Blocks   BlockStore
-	Decoder  Decoder
+	// Store, Usage and Orders serve the daemons that act for all. They may be nil if the settings ask for no
+	// such work.
+	Store   store.Transactor
+	Usage   metering.Reporter
+	Orders  autoscale.Orderer
+	Decoder Decoder
 	// Reload loads the settings again. It may be nil.
 	Reload func() (*Settings, error)
 	// HeaderCodec translates the platform's header fields.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
+	"github.com/jacinththread/jacinththread/route"
 	"github.com/jacinththread/jacinththread/upstream"
 )
 
@@ -110,7 +111,7 @@
 	}
 	q.sends++
 	q.sentAt = time.Now()
-	q.attemptEvents = 0
+	q.attemptEvents, q.counted = 0, false
 	resp, err := q.cfg.Pool.Do(ctx, conn, q.outgoing(ctx, inFlight.Server, remaining), q.responseTimeout())
 	if err != nil {
 		return q.endFailedAttempt(ctx, inFlight, err)
@@ -119,9 +120,20 @@
 	if q.cfg.HeaderCodec.NotRun(resp.Status, resp.Header) {
 		return q.endRefusedAttempt(inFlight, resp)
 	}
+	if q.route.Kind != route.Streaming || resp.Status != http.StatusOK {
+		q.countBegun(q.sentAt)
+	}
 	return attemptResult{runState: ran, response: resp, inFlight: inFlight}
 }
 
+// countBegun counts the attempt as one that the server began at a time.
+func (q *request) countBegun(at time.Time) {
+	if !q.counted {
+		q.counted = true
+		q.cfg.Usage.Began(q.customer, time.Since(at))
+	}
+}
+
 var errTooLate = errors.New("server is leaving or no time is left")
 
 // mayNotSend returns why the request may not be sent to the chosen server any more, or nil. Something may
@@ -173,6 +185,9 @@
 	res := attemptResult{runState: runStateOf(err), err: err}
 	if res.runState == mayRun {
 		q.attempts++
+		if q.route.Kind != route.Streaming {
+			q.countBegun(q.sentAt) // A server begins such a request when it arrives.
+		}
 		q.observeBreak(ctx, inFlight.Server, err)
 	}
 	inFlight.End(time.Now(), q.placementResult(ctx, err))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/holdoff"
 	"github.com/jacinththread/jacinththread/ingress"
+	"github.com/jacinththread/jacinththread/metering"
 	"github.com/jacinththread/jacinththread/notice"
 	"github.com/jacinththread/jacinththread/placement"
 	"github.com/jacinththread/jacinththread/quarantine"
@@ -96,17 +97,19 @@
 // Config configures a Forwarder.
 type Config struct {
 	// Table returns the active configuration, or nil if none is known.
-	Table       func() *route.Table
-	Catalog     *backend.Catalog
-	Pool        *upstream.Pool
-	Tracker     *placement.Tracker
-	Budget      *budget.Budget
-	Limits      *ratelimit.Limiter
-	HoldOffs    *holdoff.List
-	Notices     *notice.Receiver
-	SlotShares  *slotshare.Shares
-	Quarantine  *quarantine.List
-	Streams     StreamOrigins
+	Table      func() *route.Table
+	Catalog    *backend.Catalog
+	Pool       *upstream.Pool
+	Tracker    *placement.Tracker
+	Budget     *budget.Budget
+	Limits     *ratelimit.Limiter
+	HoldOffs   *holdoff.List
+	Notices    *notice.Receiver
+	SlotShares *slotshare.Shares
+	Quarantine *quarantine.List
+	Streams    StreamOrigins
+	// Usage counts the requests that servers began; nil if they aren't counted.
+	Usage       *metering.Counter
 	HeaderCodec HeaderCodec
 	// Domain is the failure domain of the local daemon.
 	Domain string
@@ -211,6 +214,8 @@
 	status  int
 	reason  string
 	stream  *eventSplitter
+	// counted is set once the current attempt is counted as begun.
+	counted bool
 	// attemptEvents is the number of events relayed in the current attempt.
 	attemptEvents int
 	// suspectOf is the result of suspect once it is known.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -166,6 +166,7 @@
 		return err
 	}
 	res.inFlight.RecordProgress(time.Now())
+	q.countBegun(time.Now())
 	before := q.attemptEvents
 	q.attemptEvents += bytes.Count(complete, eventEnd)
 	if before < provenEvents && q.attemptEvents >= provenEvents {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -132,6 +132,14 @@
 	return true
 }
 
+// Record returns the record of a key, if it exists, and the status of the copy that says so.
+func (c *Copy) Record(key string) (store.Entry, bool, Status) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.records[key]
+	return e.Entry, ok, c.status()
+}
+
 // Records returns the records whose keys have a prefix, sorted by key.
 func (c *Copy) Records(prefix string) []store.Entry {
 	c.mu.Lock()
