Order servers again after all of a service were lost

If all servers of a service ended at once, the leader ordered none: it took a service without servers for one whose records were not known yet, and without servers there are no requests to see. Found by reading. The need of before is kept now while no server is there; a daemon that has seen no demand yet still waits for records. The state of windows at a leader whose reports fail for long is bounded too.

--- a/autoscale/controller.go
+++ b/autoscale/controller.go
@@ -200,11 +200,11 @@
 	term, now := c.cfg.Term(), c.cfg.Clock()
 	needed, known := state.demand.Needed(now)
 	state.status = Status{Service: s.Name, Needed: needed, Use: use}
-	if term == nil || len(servers) == 0 {
+	if term == nil {
 		state.term = nil
 		return nil
 	}
-	if !known && now-term.Since < settleTime {
+	if !known && (len(servers) == 0 || now-term.Since < settleTime) {
 		return nil
 	}
 	if term != state.term {
@@ -213,9 +213,11 @@
 	state.noteReclaimed(servers, now, s.Boot)
 	domains := state.domains(s, servers, now)
 	if state.planned == 0 {
-		state.planned = leftWithoutOne(present(domains)) // A plan may have been carried out already.
+		// A plan of an earlier leader may have been carried out already.
+		state.planned = max(needed, leftWithoutOne(present(domains)))
 	}
-	if known || needed > state.planned {
+	// Without servers there is no demand to see.
+	if use.Servers > 0 && (known || needed > state.planned) {
 		state.planned = Steady(state.planned, needed)
 	}
 	state.planned = min(state.planned, s.Max*len(domains))
--- a/autoscale/demand.go
+++ b/autoscale/demand.go
@@ -34,9 +34,6 @@
 
 // needed returns the number of servers at which the use is at its targets.
 func (u Use) needed() float64 {
-	if u.Servers == 0 {
-		return 0
-	}
 	n := u.Unread / targetUnread
 	n = max(n, u.Requests/max(1, u.Slots)/targetOccupancy*float64(u.Servers))
 	if u.Memory > 0 {
@@ -62,9 +59,9 @@
 	needed float64
 }
 
-// Observe takes in the use at a time. The boot time is how long a server takes to start.
+// Observe takes in the use at a time. Without servers nothing is used, which says nothing of the demand. The boot time is how long a server takes to start.
 func (d *Demand) Observe(now time.Duration, u Use, boot time.Duration) {
-	if u.Requests == 0 && d.peaks == nil {
+	if u.Servers == 0 || u.Requests == 0 && d.peaks == nil {
 		return
 	}
 	n := u.needed()
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -277,6 +277,21 @@
 	assert.Assert(t, l.cloud.serving() < 60, "%d servers", l.cloud.serving())
 }
 
+// TestLostServersAreOrderedAgain guards against a service that stays without servers once all are lost: without servers there
+// is no load to follow.
+func TestLostServersAreOrderedAgain(t *testing.T) {
+	l := newLoad(t, wave(200))
+	l.run(40 * time.Second)
+	before := l.cloud.serving()
+	for _, v := range l.cloud.servers {
+		if v.gone == 0 {
+			v.gone = l.cloud.now
+		}
+	}
+	l.run(l.cloud.now + testBoot + arrivalMargin + testBoot + 2*time.Second)
+	assert.Assert(t, 10*l.cloud.serving() >= 8*before, "%d servers after all %d were lost", l.cloud.serving(), before)
+}
+
 // TestPeakOfAWaveIsKept guards against a need that follows the trough of a wave.
 func TestPeakOfAWaveIsKept(t *testing.T) {
 	var d Demand
--- a/metering/leader.go
+++ b/metering/leader.go
@@ -284,6 +284,7 @@
 // logDecided records a decided window. The caller must hold l.mu.
 func (l *Leader) logDecided(r *Report) {
 	s := l.status[r.Window]
+	l.forgetStatus()
 	s.Requests = r.Total()
 	if len(s.Missing) > 0 {
 		l.partial.Inc(1)
@@ -318,7 +319,6 @@
 	s.Sent = true
 	l.reported.Inc(1)
 	l.cfg.Log.Info("usage reported", "window", r.Window, "requests", s.Requests, "token", uint64(term.Token), "tries", s.Tries)
-	l.forgetStatus()
 }
 
 // forgetStatus drops the oldest states of windows. The caller must hold l.mu.
