Split the state of orders and the stored reports from the services that use them

No change of behaviour: tests of both packages and of ctl pass. The tool prints responses of entry daemons and of the operator API by one function.

--- a/autoscale/controller.go
+++ b/autoscale/controller.go
@@ -89,32 +89,6 @@
 	orders, failures, none metrics.Counter
 }
 
-// serviceState is what the controller keeps about a service.
-type serviceState struct {
-	demand Demand
-	// term is the term that the fields below belong to.
-	term *election.Term
-	// planned is the number of servers that the last plan was made for.
-	planned int
-	orders  map[subject]placed
-	// unavailable holds the domains without reclaimable servers to be had, and until when.
-	unavailable map[string]time.Duration
-	status      Status
-	loggedAt    time.Duration
-}
-
-// subject is what an order is about.
-type subject struct {
-	domain string
-	kind   Kind
-}
-
-// placed is an order that was sent.
-type placed struct {
-	count int
-	at    time.Duration
-}
-
 // Status is the state of a service's orders, for operators.
 type Status struct {
 	Service string `json:"service"`
@@ -200,27 +174,12 @@
 	term, now := c.cfg.Term(), c.cfg.Clock()
 	needed, known := state.demand.Needed(now)
 	state.status = Status{Service: s.Name, Needed: needed, Use: use}
-	if term == nil {
-		state.term = nil
-		return nil
-	}
-	if !known && (len(servers) == 0 || now-term.Since < settleTime) {
+	if !state.begin(term, now, known, len(servers) > 0) {
 		return nil
 	}
-	if term != state.term {
-		state.term, state.orders, state.planned, state.unavailable = term, map[subject]placed{}, 0, map[string]time.Duration{}
-	}
 	state.noteReclaimed(servers, now, s.Boot)
 	domains := state.domains(s, servers, now)
-	if state.planned == 0 {
-		// A plan of an earlier leader may have been carried out already.
-		state.planned = max(needed, leftWithoutOne(present(domains)))
-	}
-	// Without servers there is no demand to see.
-	if use.Servers > 0 && (known || needed > state.planned) {
-		state.planned = Steady(state.planned, needed)
-	}
-	state.planned = min(state.planned, s.Max*len(domains))
+	state.updatePlanned(domains, s.Bounds, use, needed, known)
 	targets := Plan(domains, s.Bounds, state.planned)
 	state.status.Planned, state.status.Leads, state.status.Domains = state.planned, true, domainStatus(domains, targets)
 	c.logState(state, now)
@@ -242,90 +201,6 @@
 		"memory", int(s.Use.Memory))
 }
 
-// present returns the servers that get requests, as a plan.
-func present(domains []Domain) []Target {
-	var out []Target
-	for _, d := range domains {
-		out = append(out, d.Ready)
-	}
-	return out
-}
-
-// noteReclaimed marks the domains whose reclaimable servers are being taken away.
-func (s *serviceState) noteReclaimed(servers []*backend.Server, now, boot time.Duration) {
-	for _, server := range servers {
-		if server.Reclaimed {
-			s.unavailable[server.Domain] = max(s.unavailable[server.Domain], now+retryBoots*boot)
-		}
-	}
-}
-
-// domains returns what is known of each failure domain, in the order of names.
-func (s *serviceState) domains(service *Service, servers []*backend.Server, now time.Duration) []Domain {
-	byName := map[string]*Domain{}
-	domain := func(name string) *Domain {
-		if byName[name] == nil {
-			price, ok := service.Prices[name]
-			if !ok {
-				price = 1
-			}
-			byName[name] = &Domain{Name: name, Price: price, Unavailable: now < s.unavailable[name]}
-		}
-		return byName[name]
-	}
-	for name := range service.Prices {
-		domain(name)
-	}
-	for _, server := range ready(servers) {
-		domain(server.Domain).Ready[kindOf(server)]++
-	}
-	var out []Domain
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
-		d := byName[name]
-		for _, k := range Kinds {
-			d.Ordered[k] = s.ordered(subject{name, k}, d, now, service.Boot)
-		}
-		out = append(out, *d)
-	}
-	return out
-}
-
-// ordered returns the number of servers that are on order or there. Orders that didn't lead to servers in time, and those for
-// servers that have been taken away, don't count.
-func (s *serviceState) ordered(about subject, d *Domain, now, boot time.Duration) int {
-	o, ok := s.orders[about]
-	present := d.Ready[about.kind]
-	switch {
-	case !ok:
-		return present
-	case o.count > present && now-o.at > boot+arrivalMargin:
-		return present
-	case about.kind == Reclaimable && d.Unavailable:
-		return min(o.count, present)
-	}
-	return o.count
-}
-
-func kindOf(s *backend.Server) Kind {
-	if s.Reclaimable {
-		return Reclaimable
-	}
-	return OnDemand
-}
-
-func domainStatus(domains []Domain, targets []Target) []DomainStatus {
-	var out []DomainStatus
-	for i, d := range domains {
-		for _, k := range Kinds {
-			out = append(out, DomainStatus{
-				Domain: d.Name, Kind: k.String(), Target: targets[i][k], Ordered: d.Ordered[k], Ready: d.Ready[k],
-				Unavailable: k == Reclaimable && d.Unavailable,
-			})
-		}
-	}
-	return out
-}
-
 // place sends orders until one fails.
 func (c *Controller) place(ctx context.Context, term *election.Term, s *Service, state *serviceState, orders []Order) {
 	for _, o := range orders {
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -39,6 +39,11 @@
 	if err != nil {
 		return err
 	}
+	return showDocument(a, doc, show)
+}
+
+// showDocument prints a response, as JSON or by show.
+func showDocument[T any](a *app, doc client.Document, show func(T) error) error {
 	if a.JSON {
 		return a.printJSON(doc)
 	}
--- a/ctl/entry.go
+++ b/ctl/entry.go
@@ -34,14 +34,7 @@
 	if err != nil {
 		return err
 	}
-	if a.JSON {
-		return a.printJSON(doc)
-	}
-	response, err := decode[T](doc)
-	if err != nil {
-		return err
-	}
-	return show(response)
+	return showDocument(a, doc, show)
 }
 
 type leadersCommand struct {
