Let a daemon that takes over late wait for counts before it decides a window

A play with logs shows one of them decided 0.3 s after a new leader began, with 346 requests and most daemons missing: more than half of the time until the window was due had passed, so the leader decided without having given the others the time to send what they keep. It now waits 2.5 s after it has taken over, unless the window is overdue within a second. Daemons of the simulated fleet start at different times, without which the old code passed.

--- a/metering/fleet_test.go
+++ b/metering/fleet_test.go
@@ -108,6 +108,7 @@
 	f.net.SetDelay(linkDelay, linkDelay)
 	for i := range n {
 		f.start(fmt.Sprint("daemon-", i))
+		time.Sleep(time.Duration(f.rnd.IntN(20)) * time.Millisecond) // Daemons send at different times.
 	}
 	f.lead(f.nodes[0])
 	return f
@@ -180,6 +181,9 @@
 func (f *fleet) leaderRecord() (string, store.Revision, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.leading == nil {
+		return "", 0, false
+	}
 	return f.leading.name, f.term.Token, true
 }
 
@@ -318,6 +322,21 @@
 	})
 }
 
+// TestLateLeaderWaitsForCounts guards against a daemon that takes over late and decides a window before the others have sent
+// it their counts.
+func TestLateLeaderWaitsForCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 40)
+		begin := unixNow()
+		f.run(2*testWindows.Length + 50*time.Millisecond)
+		f.kill(f.nodes[0])
+		f.run(testWindows.Due/2 + 50*time.Millisecond)
+		f.lead(f.nodes[1])
+		f.run(25 * time.Second)
+		f.check(begin, unixNow())
+	})
+}
+
 // TestSilentDaemonDelaysNoReport guards against a leader that waits for a daemon that is cut off until the window is overdue.
 func TestSilentDaemonDelaysNoReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/metering/leader.go
+++ b/metering/leader.go
@@ -78,8 +78,9 @@
 	cfg Config
 
 	mu sync.Mutex
-	// term is the term that the state below belongs to.
+	// term is the term that the state below belongs to, since is when it was first seen.
 	term      *election.Term
+	since     time.Duration
 	collector *collector
 	// loaded is set when the stored reports are known; revision is that of their record.
 	loaded   bool
@@ -136,7 +137,8 @@
 		return false
 	}
 	if t != l.term {
-		l.term, l.collector, l.loaded, l.stored, l.status = t, newCollector(), false, nil, map[int64]*Status{}
+		l.term, l.since = t, l.cfg.Clock()
+		l.collector, l.loaded, l.stored, l.status = newCollector(), false, nil, map[int64]*Status{}
 	}
 	return true
 }
@@ -196,7 +198,8 @@
 		}
 		end := w.end(window) - wallAhead
 		missing := l.collector.missing(l.cfg.Daemons(), end)
-		switch w.consider(window, windowState{now: now + wallAhead, coveredSince: covered + wallAhead, missing: len(missing)}) {
+		state := windowState{now: now + wallAhead, coveredSince: covered + wallAhead, missing: len(missing), collecting: now - l.since}
+		switch w.consider(window, state) {
 		case decide:
 			l.status[window] = &Status{Window: window, Missing: missing}
 			decided = append(decided, Report{Window: window, Counts: l.collector.window(end-w.Length, end)})
--- a/metering/plan.go
+++ b/metering/plan.go
@@ -1,7 +1,12 @@
 package metering
 
-import (
-	"time"
+import "time"
+
+const (
+	// collectTime is how long a daemon that has just taken over waits for the counts that the others keep.
+	collectTime = 2500 * time.Millisecond
+	// reportReserve is the time before a window is overdue that is left for storing and sending its report.
+	reportReserve = time.Second
 )
 
 // Windows describes the windows in which usage is reported.
@@ -37,6 +42,8 @@
 	coveredSince time.Duration
 	// missing is the number of live daemons whose counts are not known up to the end of the window.
 	missing int
+	// collecting is for how long the leader has received counts.
+	collecting time.Duration
 }
 
 // decision is what the leader does about a window.
@@ -51,13 +58,17 @@
 	skip
 )
 
-// consider decides about a window that has ended. It answers daemons that fall silent right before a window
-// is due.
+// consider decides about a window that has ended. It answers daemons that fall silent, or leaders that change, right before a
+// window is due.
 func (w Windows) consider(window int64, s windowState) decision {
 	switch {
 	case w.end(window) <= s.coveredSince:
 		return skip
-	case s.missing == 0, s.now >= w.decideBy(window):
+	case s.missing == 0:
+		return decide
+	case s.now >= w.decideBy(window) && s.collecting >= collectTime:
+		return decide
+	case s.now >= w.end(window)+w.Due-reportReserve:
 		return decide
 	}
 	return wait
