--- a/autoscale/controller.go
+++ b/autoscale/controller.go
@@ -36,7 +36,7 @@
 
 // Errors of an Orderer.
 var (
-	// ErrNoneAvailable means that no servers of the kind are to be had in the domain at present.
+	// ErrNoneAvailable means that the domain has no more servers of the kind at present.
 	ErrNoneAvailable = errors.New("no servers of this kind are available in the domain")
 	// ErrRejected means that the order is not possible.
 	ErrRejected = errors.New("order of servers was rejected")
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -30,7 +30,7 @@
 	now     time.Duration
 	servers []*vm
 	wanted  map[subject]int
-	// none returns whether no more reclaimable servers are to be had in a domain.
+	// none returns whether no more reclaimable servers are available in a domain.
 	none func(domain string) bool
 	// down fails all orders.
 	down   bool
@@ -236,10 +236,10 @@
 	}
 }
 
-// TestReclaimedDomainsLeaveEnoughServers takes the reclaimable servers of one domain after the other away, while none are to
-// be had there or anywhere.
+// TestReclaimedDomainsLeaveEnoughServers takes the reclaimable servers of one domain after the other away, while none are
+// available there or anywhere.
 func TestReclaimedDomainsLeaveEnoughServers(t *testing.T) {
-	for name, dry := range map[string]bool{"others are to be had": false, "none are to be had": true} {
+	for name, dry := range map[string]bool{"others are available": false, "none are available": true} {
 		t.Run(name, func(t *testing.T) {
 			l := newLoad(t, wave(300))
 			l.run(40 * time.Second)
@@ -263,7 +263,7 @@
 	}
 }
 
-// TestNothingChangesWhileThePlatformIsDown guards against servers that are given up though others can't be ordered, and against
+// TestNothingChangesWhileThePlatformIsDown guards against servers that are removed though others can't be ordered, and against
 // a flood of orders.
 func TestNothingChangesWhileThePlatformIsDown(t *testing.T) {
 	l := newLoad(t, wave(100))
--- a/autoscale/plan.go
+++ b/autoscale/plan.go
@@ -48,7 +48,7 @@
 	Ready [2]int
 	// Ordered is the number last ordered, by kind. It is that of Ready if nothing was ordered.
 	Ordered [2]int
-	// Unavailable is set if no more reclaimable servers are to be had at present.
+	// Unavailable is set if no more reclaimable servers are available at present.
 	Unavailable bool
 }
 
@@ -65,7 +65,7 @@
 type Target [2]int
 
 // Plan returns the number of servers that should run in each domain: at least those that are needed, and enough without the
-// reclaimable ones of any one domain. Where reclaimable servers are not to be had, on-demand ones make up for them.
+// reclaimable ones of any one domain. Where reclaimable servers are not available, on-demand ones replace them.
 func Plan(domains []Domain, b Bounds, needed int) []Target {
 	targets := make([]Target, len(domains))
 	base := needed
@@ -131,7 +131,7 @@
 	})
 }
 
-// spreadReclaimable sets the same number of reclaimable servers in all domains, as far as they are to be had, until nothing
+// spreadReclaimable sets the same number of reclaimable servers in all domains, as far as they are available, until nothing
 // is missing from the plan.
 func spreadReclaimable(targets []Target, domains []Domain, b Bounds, needed int) {
 	for level := 1; level <= b.Max && lack(targets, needed) > 0; level++ {
@@ -166,7 +166,7 @@
 	Count  int
 }
 
-// Orders returns the orders that lead to the targets. Servers are given up only as far as those that are ready stay enough
+// Orders returns the orders that lead to the targets. Servers are removed only as far as those that are ready stay enough
 // without any one domain, and not at all if mayShrink isn't set.
 func Orders(domains []Domain, targets []Target, b Bounds, needed int, mayShrink bool) []Order {
 	keep := make([]Target, len(domains))
@@ -174,7 +174,7 @@
 		keep[i] = domains[i].Ready
 	}
 	if mayShrink {
-		giveUp(keep, targets, needed-max(0, lack(targets, needed)))
+		removeSurplus(keep, targets, needed-max(0, lack(targets, needed)))
 	}
 	var orders []Order
 	for i := range domains {
@@ -187,8 +187,8 @@
 	return orders
 }
 
-// giveUp lowers the servers that are kept towards the targets as far as nothing is missing for the needed ones.
-func giveUp(keep, targets []Target, needed int) {
+// removeSurplus lowers the servers that are kept towards the targets as far as nothing is missing for the needed ones.
+func removeSurplus(keep, targets []Target, needed int) {
 	for lowered := true; lowered; {
 		lowered = false
 		for i := range keep {
--- a/autoscale/plan_test.go
+++ b/autoscale/plan_test.go
@@ -35,7 +35,7 @@
 			sum := target[OnDemand] + target[Reclaimable]
 			assert.Assert(t, sum <= b.Max && sum >= b.Min, "%v is out of bounds", target)
 			assert.Assert(t, b.ReclaimablePrice > 0 || target[Reclaimable] == 0)
-			assert.Assert(t, !domains[i].Unavailable || target[Reclaimable] <= domains[i].Ready[Reclaimable], "asks for servers that are not to be had")
+			assert.Assert(t, !domains[i].Unavailable || target[Reclaimable] <= domains[i].Ready[Reclaimable], "asks for servers that are not available")
 			full = full && sum == b.Max
 		}
 		assert.Assert(t, full || lack(targets, needed) <= 0, "%v leaves %d of %d", targets, leftWithoutOne(targets), needed)
@@ -55,7 +55,7 @@
 	}
 }
 
-// TestServersStayUntilTheirReplacementsAreReady guards against servers that are given up when others are only ordered, and
+// TestServersStayUntilTheirReplacementsAreReady guards against servers that are removed when others are only ordered, and
 // against orders beyond the bounds while both kinds run.
 func TestServersStayUntilTheirReplacementsAreReady(t *testing.T) {
 	const needed = 30
@@ -71,7 +71,7 @@
 		if len(orders) == 0 {
 			break
 		}
-		assert.Equal(t, len(Orders(domains, targets, b, needed, false)) > 0, orders[0].Kind == Reclaimable, "servers are given up though the demand isn't known")
+		assert.Equal(t, len(Orders(domains, targets, b, needed, false)) > 0, orders[0].Kind == Reclaimable, "servers are removed though the demand isn't known")
 		for _, o := range orders {
 			d := &domains[o.Domain[0]-'a']
 			d.Ordered[o.Kind] = o.Count
@@ -87,7 +87,7 @@
 	assert.Assert(t, rounds > 1 && rounds < 6, "%d rounds", rounds)
 }
 
-// TestReclaimedServersAreMadeUpForElsewhere guards against a plan that counts on servers which are not to be had.
+// TestReclaimedServersAreMadeUpForElsewhere guards against a plan that counts on servers which are not available.
 func TestReclaimedServersAreMadeUpForElsewhere(t *testing.T) {
 	b := Bounds{Min: 1, Max: 46, ReclaimablePrice: 0.22}
 	all := []Domain{{Name: "a", Price: 1}, {Name: "b", Price: 1}, {Name: "c", Price: 1}, {Name: "d", Price: 1}}
--- a/autoscale/state.go
+++ b/autoscale/state.go
@@ -17,7 +17,7 @@
 	// planned is the number of servers that the last plan was made for.
 	planned int
 	orders  map[subject]placed
-	// unavailable holds the domains without reclaimable servers to be had, and until when.
+	// unavailable holds the domains in which no more reclaimable servers are available, and until when.
 	unavailable map[string]time.Duration
 	status      Status
 	loggedAt    time.Duration
--- a/election/election.go
+++ b/election/election.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	// pollInterval is how often the local copy of the record is looked at.
+	// pollInterval is the time between two reads of the local copy of the record.
 	pollInterval = 150 * time.Millisecond
 	// renewalsPerLease is the number of renewals within the duration of a lease.
 	renewalsPerLease = 3
 	// retryInterval is the time between two renewals after one has failed.
 	retryInterval = 250 * time.Millisecond
-	// marginShare is the share of the lease, at its end, in which the leader doesn't act any more: for
-	// bytes that are still under way to whom it speaks to.
+	// marginShare is the share of the lease, at its end, in which the leader doesn't act any more, because
+	// calls may still be on their way.
 	marginShare = 6
 	// resignTimeout bounds the call that ends the lease at a planned stop.
 	resignTimeout = 300 * time.Millisecond
@@ -177,8 +177,8 @@
 	}
 }
 
-// lead renews the lease when it is time and ends the term if it is over. It returns the time until the
-// next look.
+// lead renews the lease when it is due and ends the term if it is over. It returns the time until the
+// next call.
 func (e *Election) lead(ctx context.Context, t *Term) time.Duration {
 	if reason := e.lost(t); reason != "" {
 		e.endTerm(t, reason)
@@ -242,7 +242,7 @@
 // errRestored means that the store came back from an older copy during an attempt.
 var errRestored = errors.New("store came back from an older copy")
 
-// follow looks at the record of the role and stands if there is none.
+// follow reads the local copy of the record and stands for the role if there is none.
 func (e *Election) follow(ctx context.Context) {
 	v := e.cfg.View()
 	e.logChange(v)
--- a/election/term.go
+++ b/election/term.go
@@ -38,7 +38,7 @@
 	return &Term{Role: role, Leader: leader, Token: token, Since: clock(), clock: clock, until: until}
 }
 
-// Remaining returns for how long the local daemon surely leads; zero if it may not lead any more.
+// Remaining returns for how long the local daemon certainly leads; zero if its term may be over.
 func (t *Term) Remaining() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,8 +52,8 @@
 	return max(0, t.until-t.clock())
 }
 
-// Check returns ErrTermEnded unless the local daemon surely leads. Actions call it right before each step
-// that others see.
+// Check returns ErrTermEnded unless the local daemon certainly leads. Actions call it right before each step
+// with an effect outside the daemon.
 func (t *Term) Check() error {
 	if t.Remaining() == 0 {
 		return ErrTermEnded
