Follow the demand once a second on daemons that don't lead

Every daemon looked at all servers four times a second, through a scan of the catalog and two copies of the list, and the elections copied the list of daemons 13 times a second. Daemons that don't lead now look once a second at the list that the catalog has already, the leader as before; candidates are listed only while nobody leads. A term that begins between two looks at it can't plan without servers.

--- a/autoscale/controller.go
+++ b/autoscale/controller.go
@@ -21,7 +21,9 @@
 
 const (
 	tickInterval = 250 * time.Millisecond
-	orderTimeout = 1500 * time.Millisecond
+	// observeInterval is the time between two observations on a daemon that doesn't lead.
+	observeInterval = time.Second
+	orderTimeout    = 1500 * time.Millisecond
 	// arrivalMargin is how much longer than their boot time ordered servers take to be known.
 	arrivalMargin = 4 * time.Second
 	// retryBoots is after how many boot times reclaimable servers are asked for again where there were none.
@@ -64,8 +66,8 @@
 	Services func() []Service
 	// Servers returns all known servers of a service, also those that are leaving.
 	Servers func(service string) []*backend.Server
-	// Use returns what the servers of a service do, over all daemons.
-	Use func(service string, ready []*backend.Server) Use
+	// Use returns what the servers of a service that get requests do, over all daemons.
+	Use func(service string) Use
 	// Complete reports whether the loads of most daemons are known.
 	Complete func() bool
 	Orderer  Orderer
@@ -83,6 +85,8 @@
 
 	mu       sync.Mutex
 	services map[string]*serviceState
+	// nextObservation is when the demand is to be followed next on a daemon that doesn't lead. Only tick uses it.
+	nextObservation time.Duration
 	// pausedUntil is the end of the pause after a failed order.
 	pausedUntil time.Duration
 
@@ -122,24 +126,36 @@
 	return c
 }
 
-// tick follows the demand of all services and orders servers if the local daemon leads.
+// tick follows the demand of all services and orders servers if the local daemon leads. Daemons that don't lead follow the
+// demand less often: with thousands of servers that takes a noticeable part of a small host.
 func (c *Controller) tick(ctx context.Context) {
+	now, term := c.cfg.Clock(), c.cfg.Term()
+	if term == nil && now < c.nextObservation {
+		return
+	}
+	c.nextObservation = now + observeInterval
 	services := c.cfg.Services()
 	for i := range services {
-		s := &services[i]
-		state := c.state(s.Name)
-		servers := c.cfg.Servers(s.Name)
-		use := c.cfg.Use(s.Name, ready(servers))
-		c.mu.Lock()
-		state.demand.Observe(c.cfg.Clock(), use, s.Boot)
-		orders := c.plan(s, state, servers, use)
-		term := state.term
-		c.mu.Unlock()
-		c.place(ctx, term, s, state, orders)
+		c.follow(ctx, &services[i], term)
 	}
 	c.forget(services)
 }
 
+// follow takes in the use of a service and, if the local daemon has a term, sends the orders that the use leads to.
+func (c *Controller) follow(ctx context.Context, s *Service, term *election.Term) {
+	state := c.state(s.Name)
+	use := c.cfg.Use(s.Name)
+	var servers []*backend.Server
+	if term != nil {
+		servers = c.cfg.Servers(s.Name)
+	}
+	c.mu.Lock()
+	state.demand.Observe(c.cfg.Clock(), use, s.Boot)
+	orders := c.plan(s, state, term, servers, use)
+	c.mu.Unlock()
+	c.place(ctx, term, s, state, orders)
+}
+
 // forget drops services that the configuration doesn't have any more.
 func (c *Controller) forget(services []Service) {
 	c.mu.Lock()
@@ -158,20 +174,9 @@
 	return c.services[service]
 }
 
-// ready returns the servers that get requests.
-func ready(servers []*backend.Server) []*backend.Server {
-	var out []*backend.Server
-	for _, s := range servers {
-		if !s.Draining {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // plan returns the orders to send now. The caller must hold c.mu.
-func (c *Controller) plan(s *Service, state *serviceState, servers []*backend.Server, use Use) []Order {
-	term, now := c.cfg.Term(), c.cfg.Clock()
+func (c *Controller) plan(s *Service, state *serviceState, term *election.Term, servers []*backend.Server, use Use) []Order {
+	now := c.cfg.Clock()
 	needed, known := state.demand.Needed(now)
 	state.status = Status{Service: s.Name, Needed: needed, Use: use}
 	if !state.begin(term, now, known, len(servers) > 0) {
--- a/autoscale/load_test.go
+++ b/autoscale/load_test.go
@@ -172,8 +172,14 @@
 			return []Service{{Name: "s", Boot: testBoot, Prices: testPrices, Bounds: Bounds{Min: 1, Max: 46, ReclaimablePrice: 0.22}}}
 		},
 		Servers: func(string) []*backend.Server { return l.cloud.known() },
-		Use: func(_ string, ready []*backend.Server) Use {
-			return Use{Servers: len(ready), Requests: l.slots(l.cloud.now), Slots: float64(testSlots * len(ready))}
+		Use: func(string) Use {
+			ready := 0
+			for _, s := range l.cloud.known() {
+				if !s.Draining {
+					ready++
+				}
+			}
+			return Use{Servers: ready, Requests: l.slots(l.cloud.now), Slots: float64(testSlots * ready)}
 		},
 		Complete: func() bool { return true }, Orderer: l.cloud, Term: func() *election.Term { return term },
 		Clock: clock, Log: log.New(io.Discard), Metrics: metrics.NewRegistry(),
--- a/autoscale/state.go
+++ b/autoscale/state.go
@@ -97,8 +97,10 @@
 	for name := range service.Prices {
 		domain(name)
 	}
-	for _, server := range ready(servers) {
-		domain(server.Domain).Ready[kindOf(server)]++
+	for _, server := range servers {
+		if !server.Draining {
+			domain(server.Domain).Ready[kindOf(server)]++
+		}
 	}
 	var out []Domain
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
--- a/election/election.go
+++ b/election/election.go
@@ -248,7 +248,7 @@
 	e.logChange(v)
 	now := e.cfg.Clock()
 	e.stand.observe(now, v, e.cfg.Lease)
-	if !e.stand.due(now, v, e.cfg.Addr, e.cfg.Role, e.cfg.Candidates()) {
+	if !e.stand.due(now, v, e.cfg.Addr, e.cfg.Role, e.cfg.Candidates) {
 		return
 	}
 	t, err := e.attempt(ctx)
--- a/election/standing.go
+++ b/election/standing.go
@@ -44,7 +44,7 @@
 }
 
 // due reports whether the daemon is to stand now.
-func (s *standing) due(now time.Duration, v View, self, role string, candidates []string) bool {
+func (s *standing) due(now time.Duration, v View, self, role string, candidates func() []string) bool {
 	if v.Exists || !v.Current {
 		s.absent = false
 		return false
@@ -52,7 +52,7 @@
 	if !s.absent {
 		s.absent, s.absentSince = true, now
 	}
-	return now-max(s.absentSince, s.earliest) >= delayOf(rank(self, role, candidates))
+	return now-max(s.absentSince, s.earliest) >= delayOf(rank(self, role, candidates()))
 }
 
 // rank returns the place of a candidate in the order of the role.
--- a/entry/leaders.go
+++ b/entry/leaders.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/autoscale"
-	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/election"
 	"github.com/jacinththread/jacinththread/internal/boottime"
 	"github.com/jacinththread/jacinththread/kernel"
@@ -130,7 +129,8 @@
 }
 
 // serviceUse returns what the servers of a service do, over all daemons.
-func (d *Daemon) serviceUse(service string, ready []*backend.Server) autoscale.Use {
+func (d *Daemon) serviceUse(service string) autoscale.Use {
+	ready := d.catalog.Ready(service)
 	load := d.tracker.TotalLoad(ready)
 	use := autoscale.Use{Servers: len(ready), Requests: load.Requests, MemoryUsed: load.MemoryTokens, Unread: load.Unread}
 	for _, s := range ready {
