Divide scarce slots among customers and let requests wait for slots

Callers saw: while one customer sends several times its usual, the requests of all customers of a class are refused alike, so those that send what they usually do pay for the one that doesn't; and a request that finds no slot is refused at once, though one becomes free some milliseconds later.

Cause: acceptance by the use of slots knew no customers, and nothing kept a request at the daemon.

Change: fairshare keeps what customers offer to all daemons (sums in the messages about loads) and divides what is accepted by weighted max-min fairness, weights being the work that was accepted over minutes. admission holds requests until slots become free, in the order of urgency, shares and time to start. Both only where the settings ask for it.

--- a/ctl/entry.go
+++ b/ctl/entry.go
@@ -22,6 +22,9 @@
 `},
 		{name: "autoscaling", short: "Show how many servers are needed, ordered and there", data: &autoscalingCommand{},
 			examples: `  jacinththreadctl autoscaling --entry-url http://10.1.0.40:9180
+`},
+		{name: "shares", short: "Show what customers offer, what they usually do, and who waits for slots", data: &sharesCommand{},
+			examples: `  jacinththreadctl shares --entry-url http://10.1.0.40:9180
 `},
 	}
 }
@@ -89,3 +92,28 @@
 		return a.printTable(t)
 	})
 }
+
+type sharesCommand struct {
+	runnable
+	entryTarget
+}
+
+func (c *sharesCommand) run(ctx context.Context, a *app) error {
+	return showEntry(ctx, a, &c.entryTarget, entryapi.SharesPath, func(s entryapi.Shares) error {
+		if !s.Divided {
+			return &usageError{"the settings of this daemon don't divide slots among customers"}
+		}
+		t := newTable("SERVICE", "URGENCY", "CUSTOMER", "OFFERED TOKENS/S", "USUAL TOKENS/S", "OVER SHARE")
+		for _, r := range s.Shares {
+			t.add(r.Service, r.Urgency, r.Customer, int64(r.Offered), int64(r.Usual), r.OverShare)
+		}
+		if err := a.printTable(t); err != nil {
+			return err
+		}
+		waiting := newTable("SERVICE", "WAITING", "BYTES", "TURN EVERY MS", "BY URGENCY")
+		for _, q := range s.Waiting {
+			waiting.add(q.Service, q.Requests, q.Bytes, q.IntervalMs, q.UrgentFirst)
+		}
+		return a.printTable(waiting)
+	})
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -12,10 +12,12 @@
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/jacinththread/jacinththread/admission"
 	"github.com/jacinththread/jacinththread/autoscale"
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/election"
+	"github.com/jacinththread/jacinththread/fairshare"
 	"github.com/jacinththread/jacinththread/holdoff"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/membership"
@@ -44,16 +46,20 @@
 	metrics metrics.Registry
 	tracer  trace.Tracer
 
-	copy           *mirror.Copy
-	exchange       *mirror.Exchange
-	records        *records
-	catalog        *backend.Catalog
-	reach          *reach.Table
-	connector      *reach.Connector
-	tunnels        *tunnel.Client
-	carrier        *tunnel.Server
-	pool           *upstream.Pool
-	tracker        *placement.Tracker
+	copy      *mirror.Copy
+	exchange  *mirror.Exchange
+	records   *records
+	catalog   *backend.Catalog
+	reach     *reach.Table
+	connector *reach.Connector
+	tunnels   *tunnel.Client
+	carrier   *tunnel.Server
+	pool      *upstream.Pool
+	tracker   *placement.Tracker
+	// shares is nil unless the settings ask for shares of customers.
+	shares *fairshare.Ledger
+	// waiters is nil unless the settings ask for shares of customers.
+	waiters        *admission.Waiters
 	budget         *budget.Budget
 	rateLimits     *ratelimit.Limiter
 	holdOffs       *holdoff.List
@@ -95,7 +101,11 @@
 	d.quarantine = quarantine.New(s.Peers, func(hash uint64) string { return d.fleet.Ring().Owner(hash) }, d.log, d.metrics)
 	d.records = &records{decoder: a.Decoder, catalog: d.catalog, onConfig: d.announceConfig, onBlock: d.quarantine.Restore, log: d.log}
 	d.copy = mirror.NewCopy(d.records.apply, d.records.isRenewal)
-	d.tracker = placement.NewTracker(rand.Uint64(), d.log)
+	if s.SharedCapacity {
+		d.shares = fairshare.NewLedger()
+		d.waiters = admission.NewWaiters(waitLimits(s), d.metrics)
+	}
+	d.tracker = placement.NewTracker(rand.Uint64(), d.shares, d.log)
 	d.budget = budget.New(s.Budget, d.daemonCount)
 	d.rateLimits = ratelimit.New(s.Peers, d.log, d.metrics)
 	d.holdOffs = holdoff.New(d.log, d.metrics)
--- a/entry/entryapi/entryapi.go
+++ b/entry/entryapi/entryapi.go
@@ -2,7 +2,9 @@
 package entryapi
 
 import (
+	"github.com/jacinththread/jacinththread/admission"
 	"github.com/jacinththread/jacinththread/autoscale"
+	"github.com/jacinththread/jacinththread/fairshare"
 	"github.com/jacinththread/jacinththread/metering"
 )
 
@@ -11,6 +13,7 @@
 	LeadersPath     = "/v1/leaders"
 	UsagePath       = "/v1/usage"
 	AutoscalingPath = "/v1/autoscaling"
+	SharesPath      = "/v1/shares"
 )
 
 // Leaders lists who leads each role, as one daemon knows it.
@@ -37,6 +40,15 @@
 	Windows []metering.Status `json:"windows"`
 }
 
+// Shares lists what customers offer to all daemons and what they usually do, as one daemon knows it, and the requests
+// that wait for slots at that daemon.
+type Shares struct {
+	// Divided is set if scarce slots are divided among customers.
+	Divided bool               `json:"divided"`
+	Shares  []fairshare.Share  `json:"shares"`
+	Waiting []admission.Status `json:"waiting"`
+}
+
 // Autoscaling lists what is known of the services whose servers may be ordered. Only the daemon that leads the role plans.
 type Autoscaling struct {
 	Services []autoscale.Status `json:"services"`
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -22,7 +22,7 @@
 	s := &Settings{
 		Name: "d", Domain: "a", Region: "r", Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0",
 		Directory: "127.0.0.1:0", Descriptors: 4000, MemoryBytes: 1 << 28, Grace: time.Second,
-		LeaderLease: time.Second, Usage: metering.Windows{Length: time.Second, Due: time.Second}, Autoscaling: true,
+		LeaderLease: time.Second, Usage: metering.Windows{Length: time.Second, Due: time.Second}, Autoscaling: true, SharedCapacity: true,
 	}
 	s.Budget.Window = 10 * time.Second
 	return New(s, Adapter{DirectoryPath: "/d", ReadyPath: "/r"}, Instruments{Log: log.New(io.Discard), Metrics: registry})
--- a/entry/modules.go
+++ b/entry/modules.go
@@ -6,6 +6,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/jacinththread/jacinththread/admission"
 	"github.com/jacinththread/jacinththread/forward"
 	"github.com/jacinththread/jacinththread/holdoff"
 	"github.com/jacinththread/jacinththread/ingress"
@@ -65,6 +66,10 @@
 	// bodyMemoryRatio is the fraction of the available memory that buffered
 	// request bodies may use.
 	bodyMemoryRatio = 0.2
+	// waitingMemoryRatio is the fraction of the available memory that bodies of requests that wait for slots may
+	// use, and maxWaiting the largest number of such requests.
+	waitingMemoryRatio = 0.1
+	maxWaiting         = 256
 )
 
 // peerKey is the shared key of connections between daemons. It is not a secret:
@@ -98,6 +103,11 @@
 	return modules
 }
 
+// waitLimits bounds the requests that wait for slots.
+func waitLimits(s *Settings) admission.Limits {
+	return admission.Limits{Requests: maxWaiting, Bytes: int64(waitingMemoryRatio * float64(s.MemoryBytes))}
+}
+
 func (d *Daemon) newPeer(kernel.Registry) (kernel.Service, error) {
 	node, err := peer.New(peer.Config{
 		Self: d.settings.Peers, Listen: d.settings.Peers, Keys: [][]byte{peerKey},
@@ -220,6 +230,7 @@
 	}
 	f := forward.New(forward.Config{
 		Table: d.records.Table, Catalog: d.catalog, Pool: d.pool, Tracker: d.tracker, Budget: d.budget, Limits: d.rateLimits, HoldOffs: d.holdOffs, Notices: d.notices, SlotShares: slotshare.New(d.settings.Peers, d.fleet.Ring), Quarantine: d.quarantine,
+		Waiters:     d.waiters,
 		Usage:       d.usage,
 		Streams:     resume.New(node, d.fleet.Ring, d.log, d.metrics),
 		HeaderCodec: d.adapter.HeaderCodec, Domain: d.settings.Domain, CatalogFreshness: d.catalogFreshness, Log: d.log, Metrics: d.metrics, Tracer: d.tracer,
--- a/entry/views.go
+++ b/entry/views.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -16,6 +17,7 @@
 		entryapi.LeadersPath:     func() any { return d.leaders() },
 		entryapi.UsagePath:       func() any { return d.usageView() },
 		entryapi.AutoscalingPath: func() any { return d.autoscaling() },
+		entryapi.SharesPath:      func() any { return d.sharesView() },
 	} {
 		router.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { d.writeView(w, view()) }).Methods(http.MethodGet)
 	}
@@ -56,3 +58,7 @@
 	}
 	return entryapi.Autoscaling{Services: d.autoscaler.States()}
 }
+
+func (d *Daemon) sharesView() entryapi.Shares {
+	return entryapi.Shares{Divided: d.shares != nil, Shares: d.shares.Shares(time.Now()), Waiting: d.waiters.Status()}
+}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -32,8 +32,12 @@
 			}
 			continue
 		}
-		inFlight, refusal := q.place(servers)
+		req := q.placementRequest()
+		inFlight, refusal := q.placeInTurn(servers, req)
 		if refusal != nil {
+			if mayWait(refusal) && q.waitForSlot(ctx, servers, req) {
+				continue
+			}
 			q.refuseOverloaded(ctx, refusal)
 			return nil
 		}
@@ -42,6 +46,7 @@
 			return nil
 		}
 		if q.take(inFlight.Server) {
+			q.recordAccepted(req)
 			return inFlight
 		}
 		inFlight.End(time.Now(), placement.Abandoned) // Another request was faster.
@@ -67,18 +72,18 @@
 	return untried
 }
 
-// place chooses one of the given servers.
-func (q *request) place(servers []*backend.Server) (*placement.InFlight, *placement.Refusal) {
+// placementRequest describes the request for the choice of a server.
+func (q *request) placementRequest() placement.Request {
 	memory := 0
 	if s := q.table.Service(q.service); s != nil && s.Engine != nil {
 		memory = s.Engine.MemoryTokens
 	}
-	return q.cfg.Tracker.Place(time.Now(), servers, placement.Request{
+	return placement.Request{
 		Memory: memory, MaxWait: q.maxWait(), Urgency: q.urgency,
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
-		Target: q.route.Target, Gap: q.route.GapTarget,
+		Target: q.route.Target, Gap: q.route.GapTarget, Service: q.service, Customer: q.customer,
 		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.MinGapTarget(q.service),
-	})
+	}
 }
 
 // maxWait returns how long the request may queue at a server behind earlier
@@ -95,7 +100,8 @@
 // at the best server.
 func (q *request) refuseOverloaded(ctx context.Context, r *placement.Refusal) {
 	q.cfg.Log.Info("request refused, servers are overloaded", "request_id", q.meta.ID, "service", q.service, "priority", q.priority,
-		"reason", r.Reason, "wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds())
+		"reason", r.Reason, "wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds(),
+		"customer", q.customer, "accepted_share", r.AcceptedShare, "waited_ms", q.waited.Milliseconds())
 	if ctx.Err() != nil {
 		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/jacinththread/jacinththread/admission"
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
 	"github.com/jacinththread/jacinththread/holdoff"
@@ -107,7 +108,9 @@
 	Notices    *notice.Receiver
 	SlotShares *slotshare.Shares
 	Quarantine *quarantine.List
-	Streams    StreamOrigins
+	// Waiters holds requests that wait for slots; nil if none waits.
+	Waiters *admission.Waiters
+	Streams StreamOrigins
 	// Usage counts the requests that servers began; nil if they aren't counted.
 	Usage       *metering.Counter
 	HeaderCodec HeaderCodec
@@ -178,6 +181,7 @@
 		return
 	}
 	q.cfg.Budget.RecordRequest(q.service, time.Now())
+	q.recordOffer()
 	q.run(ctx)
 	q.recordOutcome()
 }
@@ -235,6 +239,10 @@
 	longestGap  time.Duration
 	// estimate is what was assumed about the chosen server at the last placement.
 	estimate placement.Estimate
+	// accepted is set once the request is counted as accepted, hadTurn if its last wait ended with a turn, and waited
+	// is how long it has waited for slots.
+	accepted, hadTurn bool
+	waited            time.Duration
 	// readyServers is the number of ready servers at the last placement.
 	readyServers int
 	// fragile is set if servers of the service said at the last placement that they fail under many refusals.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/budget"
+	"github.com/jacinththread/jacinththread/fairshare"
 	"github.com/jacinththread/jacinththread/hashring"
 	"github.com/jacinththread/jacinththread/holdoff"
 	"github.com/jacinththread/jacinththread/ingress"
@@ -157,7 +158,7 @@
 	f := New(Config{
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: pool,
 		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Second },
-		Tracker:          placement.NewTracker(1, log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
+		Tracker:          placement.NewTracker(1, fairshare.NewLedger(), log.New(io.Discard)), Budget: budget.New(d.limit, func() int { return 1 }),
 		Limits: limits, HoldOffs: holdOffs, Notices: notices, SlotShares: slotshare.New("self", func() *hashring.Ring { return hashring.New([]string{"self"}) }), Quarantine: d.quarantine, Streams: d.origins,
 		HeaderCodec: testHeaderCodec{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
 	})
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -49,8 +49,8 @@
 
 // Reasons of refusals.
 const (
-	// slotsUsed: the slots of the servers are in use.
-	slotsUsed RefusalReason = "slots"
+	// SlotsUsed: the slots of the servers are in use.
+	SlotsUsed RefusalReason = "slots"
 	// serverBehind: the chosen server has too many prompts to read, or too little memory.
 	serverBehind RefusalReason = "backlog or memory"
 )
@@ -62,6 +62,8 @@
 	Wait time.Duration
 	// MaxWait is the longest acceptable wait of the request.
 	MaxWait time.Duration
+	// AcceptedShare is the share of the customer's requests that is accepted, if the slots of the servers are in use.
+	AcceptedShare float64
 	// RetryAfter is the delay after which the request is likely to be accepted.
 	RetryAfter time.Duration
 }
--- a/placement/exchange.go
+++ b/placement/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/jacinththread/jacinththread/fairshare"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/policy"
 )
@@ -38,6 +39,11 @@
 	// refreshInterval is how often all loads are reported, including unchanged
 	// ones, in case a message was lost or a relay is new.
 	refreshInterval = time.Second
+	// workInterval is the time between two reports of the work of customers. It is a part of the time within which
+	// shares that aren't used are lent and returned.
+	workInterval = 400 * time.Millisecond
+	// workRefreshInterval is how often all work is reported, including that which has not changed.
+	workRefreshInterval = 3 * time.Second
 	// shardCount is the number of shards into which the servers are divided.
 	shardCount = 8
 )
@@ -74,7 +80,9 @@
 	done    chan struct{}
 	// nextRefresh is when all loads are reported again.
 	nextRefresh time.Time
-	sent        metrics.Counter
+	// nextWork is when changes of the work of customers are reported, nextWorkRefresh when all of it is.
+	nextWork, nextWorkRefresh time.Time
+	sent                      metrics.Counter
 	// now returns the time. Tests replace it.
 	now func() time.Time
 }
@@ -89,9 +97,11 @@
 	}
 	bus.Handle(peer.KindServerLoads, func() peer.Message { return new(loadsMessage) }, func(from string, m peer.Message) {
 		t.receiveLoads(from, m.(*loadsMessage), e.now())
+		t.shares.ReceivePeer(from, m.(*loadsMessage).Work, e.now())
 	})
 	bus.Handle(peer.KindServerTotals, func() peer.Message { return new(totalsMessage) }, func(_ string, m peer.Message) {
 		t.receiveTotals(m.(*totalsMessage), e.now())
+		t.shares.ReceiveTotals(m.(*totalsMessage).Work, e.now())
 	})
 	return e
 }
@@ -133,61 +143,93 @@
 	if all {
 		e.nextRefresh = now.Add(refreshInterval)
 	}
-	changed := e.tracker.takeChanges(all)
+	work, sendWork := e.takeWork(now)
+	changes := loadsMessage{Loads: e.tracker.takeChanges(all), Work: work}
 	if len(fleet.Others) <= maxDirectPeers {
-		e.sendToAll(fleet, changed)
+		e.sendToAll(fleet, &changes)
 	} else {
-		e.sendToRelays(fleet, changed)
-		e.sendTotals(fleet, now)
+		e.sendToRelays(fleet, &changes)
+		e.sendTotals(fleet, now, sendWork)
 	}
 	e.tracker.updateRemote(now)
 	e.tracker.setDaemons(len(fleet.Others) + 1)
 }
 
+// takeWork returns the work of customers to report in this round, and whether work is reported at all.
+func (e *LoadExchange) takeWork(now time.Time) ([]fairshare.ClassWork, bool) {
+	if now.Before(e.nextWork) {
+		return nil, false
+	}
+	e.nextWork = now.Add(workInterval)
+	all := !now.Before(e.nextWorkRefresh)
+	if all {
+		e.nextWorkRefresh = now.Add(workRefreshInterval)
+	}
+	return e.tracker.shares.TakeChanges(now, all), true
+}
+
 // sendToAll sends changes to all other daemons.
-func (e *LoadExchange) sendToAll(fleet Fleet, changed []serverLoad) {
+func (e *LoadExchange) sendToAll(fleet Fleet, changes *loadsMessage) {
 	e.tracker.discardQueuedParts()
-	if len(changed) == 0 {
+	if len(changes.Loads) == 0 && len(changes.Work) == 0 {
 		return
 	}
 	for _, p := range fleet.Others {
-		e.send(p.Name, &loadsMessage{Loads: changed})
+		e.send(p.Name, changes)
 	}
 }
 
 // sendToRelays sends changes to the relays of their shards in all failure
 // domains.
-func (e *LoadExchange) sendToRelays(fleet Fleet, changed []serverLoad) {
-	if len(changed) == 0 {
+func (e *LoadExchange) sendToRelays(fleet Fleet, changes *loadsMessage) {
+	if len(changes.Loads) == 0 && len(changes.Work) == 0 {
 		return
 	}
-	byShard := map[int32][]serverLoad{}
-	for _, l := range changed {
-		shard := shardOf(l.Server)
-		byShard[shard] = append(byShard[shard], l)
-	}
 	domains := fleet.domains()
-	for shard, list := range byShard {
+	for shard, m := range changes.byShard() {
 		for domain, members := range domains {
 			name := relayOf(domain, shard, members)
 			if name == fleet.Self.Name {
-				e.tracker.queueParts(list)
+				e.tracker.queueParts(m.Loads)
 				continue
 			}
-			e.send(name, &loadsMessage{Loads: list})
+			e.send(name, m)
+		}
+	}
+}
+
+// byShard divides a message by the shards of its servers and classes.
+func (m *loadsMessage) byShard() map[int32]*loadsMessage {
+	out := map[int32]*loadsMessage{}
+	of := func(shard int32) *loadsMessage {
+		if out[shard] == nil {
+			out[shard] = &loadsMessage{}
 		}
+		return out[shard]
+	}
+	for _, l := range m.Loads {
+		part := of(shardOf(l.Server))
+		part.Loads = append(part.Loads, l)
+	}
+	for _, w := range m.Work {
+		part := of(shardOfClass(w.Class))
+		part.Work = append(part.Work, w)
 	}
+	return out
 }
 
 // sendTotals sends the totals of the shards that the local daemon relays to the
-// other daemons of its failure domain.
-func (e *LoadExchange) sendTotals(fleet Fleet, now time.Time) {
+// other daemons of its failure domain, with the work of customers if withWork is set.
+func (e *LoadExchange) sendTotals(fleet Fleet, now time.Time, withWork bool) {
 	members := fleet.domains()[fleet.Self.Domain]
 	for shard := range int32(shardCount) {
 		if relayOf(fleet.Self.Domain, shard, members) != fleet.Self.Name {
 			continue
 		}
 		m := e.tracker.shardTotals(shard, now)
+		if withWork {
+			m.Work = e.tracker.shares.Totals(now, func(c fairshare.Class) bool { return shardOfClass(c) == shard })
+		}
 		for _, name := range members {
 			if name != fleet.Self.Name {
 				e.send(name, m)
@@ -215,6 +257,11 @@
 // shardOf returns the shard of a server.
 func shardOf(server string) int32 { return int32(xxhash.Sum64String(server) % shardCount) }
 
+// shardOfClass returns the shard of the work of a class, whose customers are all in one message.
+func shardOfClass(c fairshare.Class) int32 {
+	return shardOf(c.Service + "/" + strconv.Itoa(int(c.Urgency)))
+}
+
 // relayOf returns the name of the daemon that relays a shard in a failure
 // domain.
 func relayOf(domain string, shard int32, members []string) string {
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/fairshare"
 	"github.com/jacinththread/jacinththread/peer"
 	"github.com/jacinththread/jacinththread/route"
 )
@@ -65,6 +66,8 @@
 // it does not list is unchanged since the previous message.
 type loadsMessage struct {
 	Loads []serverLoad
+	// Work is the work that customers offered to the sender. Daemons of older versions do not send it.
+	Work []fairshare.ClassWork
 }
 
 // Kind implements peer.Message.
@@ -75,6 +78,9 @@
 type totalsMessage struct {
 	Shard int32
 	Loads []serverLoad
+	// Work is the work that customers offered to all daemons, in the classes of the shard. Daemons of older
+	// versions do not send it.
+	Work []fairshare.ClassWork
 }
 
 // Kind implements peer.Message.
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -20,6 +20,7 @@
 	trackers  map[string]*Tracker
 	exchanges map[string]*LoadExchange
 	fleets    map[string]Fleet
+	buses     map[string]*testBus
 	names     []string
 	sent      int
 }
@@ -30,12 +31,17 @@
 	all      *testFleet
 	handlers map[peer.Kind]peer.Handler
 	peers    map[string]*testBus
+	// cut is set if the daemon exchanges nothing with others.
+	cut bool
 }
 
 func (b *testBus) Self() string { return b.self }
 
 func (b *testBus) Send(to string, m peer.Message) error {
 	b.all.sent++
+	if b.cut || b.peers[to].cut {
+		return nil
+	}
 	b.peers[to].handlers[m.Kind()](b.self, m)
 	return nil
 }
@@ -60,6 +66,7 @@
 		others := slices.Delete(slices.Clone(all), i, i+1)
 		b := &testBus{self: self.Name, all: d, handlers: map[peer.Kind]peer.Handler{}, peers: buses}
 		buses[self.Name] = b
+		d.buses = buses
 		d.names = append(d.names, self.Name)
 		d.trackers[self.Name] = newTracker(uint64(i))
 		d.fleets[self.Name] = Fleet{Self: self, Others: others}
@@ -68,6 +75,26 @@
 	return d
 }
 
+// cutOff lets the first daemons exchange nothing with others, who know it.
+func (d *testFleet) cutOff(n int) {
+	for i, name := range d.names {
+		f := d.fleets[name]
+		if i < n {
+			d.buses[name].cut = true
+			f.Others = nil
+		}
+		f.Others = slices.DeleteFunc(slices.Clone(f.Others), func(p Peer) bool { return slices.Contains(d.names[:n], p.Name) })
+		d.fleets[name] = f
+	}
+}
+
+// withoutShares makes all daemons divide nothing among customers.
+func (d *testFleet) withoutShares() {
+	for _, t := range d.trackers {
+		t.shares = nil
+	}
+}
+
 // round lets each daemon send its loads once and then recompute the remote
 // loads.
 func (d *testFleet) round(at time.Time) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/fairshare"
 )
 
 // Part is a part of a prompt that other prompts may contain as well. A server
@@ -58,8 +59,19 @@
 	Urgency int
 	// Domain is the failure domain of the local daemon.
 	Domain string
+	// Service is the service of the servers and Customer who sent the request; empty if it isn't known.
+	Service, Customer string
 }
 
+// class returns the class in which the request shares capacity.
+func (r *Request) class() fairshare.Class {
+	return fairshare.Class{Service: r.Service, Urgency: int32(r.Urgency)}
+}
+
+// work returns the work of the request in tokens to read. It is known before a server is chosen, so cached
+// parts count as well.
+func (r *Request) work() float64 { return float64(r.TokensIn) + outputWeight*float64(r.TokensOut) }
+
 // Candidate is a server and its estimated load.
 type Candidate struct {
 	Server *backend.Server
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -12,11 +12,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/fairshare"
 )
 
 var now = time.Unix(1000, 0)
 
-func newTracker(seed uint64) *Tracker { return NewTracker(seed, log.New(io.Discard)) }
+func newTracker(seed uint64) *Tracker {
+	return NewTracker(seed, fairshare.NewLedger(), log.New(io.Discard))
+}
 
 // place places a request and panics if it is refused.
 func place(t *Tracker, at time.Time, servers []*backend.Server, req Request) *InFlight {
--- a/placement/sim_fleet_test.go
+++ b/placement/sim_fleet_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/jacinththread/jacinththread/admission"
 	"github.com/jacinththread/jacinththread/backend"
 )
 
@@ -39,6 +40,8 @@
 	class    int
 	from, to time.Duration
 	factor   float64
+	// customer is the number of the only customer that sends more, counted from 1; zero stands for all.
+	customer int
 }
 
 // simLoad is a load on a fleet.
@@ -47,12 +50,22 @@
 	engine           simEngineConfig
 	classes          []simClass
 	bursts           []simBurst
-	length           time.Duration
+	// customers is the number of customers, of which a few are large; zero if they aren't told apart.
+	customers int
+	// queued makes requests wait for slots at the daemon.
+	queued bool
+	length time.Duration
 }
 
 // simCall is the request of a caller with its repetitions.
 type simCall struct {
 	class    int
+	customer int
+	// startBy is when the call has to start to be in time, counted is set once it is recorded as accepted.
+	startBy time.Duration
+	counted bool
+	// hadTurn is set if the last wait for a slot ended with a turn.
+	hadTurn  bool
 	daemon   int
 	arrived  time.Duration
 	req      Request
@@ -76,7 +89,7 @@
 
 // simCounts counts requests that arrived at servers, were rejected there or preempted, and the prompt tokens that were
 // not cached.
-type simCounts struct{ arrivals, rejected, preempted, uncached int }
+type simCounts struct{ arrivals, rejected, preempted, uncached, queued int }
 
 // simFleet is a running simulation.
 type simFleet struct {
@@ -95,6 +108,9 @@
 	requests int
 	// open is the number of calls that have not ended.
 	open int
+	// queues are the queues of the daemons, and waiting the calls in them.
+	queues  map[int]*admission.Queue
+	waiting map[*admission.Entry]*simCall
 }
 
 // simEvent is something that happens at a time.
@@ -136,6 +152,7 @@
 func newSimFleet(load simLoad, seed uint64) *simFleet {
 	f := &simFleet{
 		load: load, rnd: rand.New(rand.NewPCG(seed, 11)), start: time.Unix(1000, 0),
+		queues: map[int]*admission.Queue{}, waiting: map[*admission.Entry]*simCall{},
 		daemons: newTestFleet(load.daemons), engines: map[*backend.Server]*simEngine{},
 	}
 	for _, e := range f.daemons.exchanges {
@@ -187,15 +204,51 @@
 
 // rate returns the rate of a class now.
 func (f *simFleet) rate(class int) float64 {
-	rate := f.load.classes[class].perSec
+	sum := 0.0
+	for customer := range max(1, f.load.customers) {
+		sum += f.customerRate(class, customer+1)
+	}
+	return sum
+}
+
+// customerRate returns the rate of a class now, of one customer if they are told apart.
+func (f *simFleet) customerRate(class, customer int) float64 {
+	rate := f.load.classes[class].perSec * f.load.customerShare(customer)
 	for _, b := range f.load.bursts {
-		if b.class == class && f.now >= b.from && f.now < b.to {
+		if b.class == class && f.now >= b.from && f.now < b.to && (b.customer == 0 || b.customer == customer) {
 			rate *= b.factor
 		}
 	}
 	return rate
 }
 
+// customerShare returns the usual share of a customer.
+func (l *simLoad) customerShare(customer int) float64 {
+	if l.customers == 0 {
+		return 1
+	}
+	sum := 0.0
+	for i := range l.customers {
+		sum += simCustomerSize(i + 1)
+	}
+	return simCustomerSize(customer) / sum
+}
+
+// simCustomerSize returns the relative size of a customer.
+func simCustomerSize(customer int) float64 { return math.Pow(float64(customer), -1.2) }
+
+// pickCustomer returns the customer of an arriving call.
+func (f *simFleet) pickCustomer(class int) int {
+	point := f.rnd.Float64() * f.rate(class)
+	for customer := 1; customer < f.load.customers; customer++ {
+		point -= f.customerRate(class, customer)
+		if point < 0 {
+			return customer
+		}
+	}
+	return f.load.customers
+}
+
 func (f *simFleet) scheduleArrival(class int) {
 	gap := time.Duration(f.rnd.ExpFloat64() / f.rate(class) * float64(time.Second))
 	f.after(gap, func() {
@@ -225,11 +278,23 @@
 		TokensIn: shared + own, TokensOut: call.events * f.load.engine.tokensPerEvent * 2,
 		Gap: c.gap, Tight: c.gap == f.tightestGap(), Memory: f.load.engine.memory, Urgency: c.priority,
 		Target: c.target, MaxWait: MaxWait(c.target, c.priority),
-		Domain: fmt.Sprint("d", call.daemon%3),
+		Domain: fmt.Sprint("d", call.daemon%3), Service: "engines",
+	}
+	if f.load.customers > 0 {
+		call.customer = f.pickCustomer(class)
+		call.req.Customer = fmt.Sprint("customer-", call.customer)
 	}
+	call.startBy = f.now + c.target/4
 	f.calls = append(f.calls, call)
 	f.open++
 	f.requests++
+	f.offer(call)
+}
+
+// offer sends the call of a caller, which is new or came back.
+func (f *simFleet) offer(call *simCall) {
+	f.daemons.tracker(call.daemon).RecordOffer(f.clock(), call.req)
+	call.counted = false
 	f.send(call, 0, nil)
 }
 
@@ -245,13 +310,35 @@
 	return slices.DeleteFunc(slices.Clone(f.servers), func(s *backend.Server) bool { return slices.Contains(tried, s) })
 }
 
+// place chooses a server, unless others wait that are to be served before.
+func (f *simFleet) place(call *simCall, tried []*backend.Server) (*InFlight, *Refusal) {
+	tracker := f.daemons.tracker(call.daemon)
+	q := f.queues[call.daemon]
+	if q != nil && !call.hadTurn && call.req.MaxWait > 0 && q.Ahead(f.entry(call)) > 0 {
+		return nil, tracker.RefuseBySlots(f.clock(), f.servers, call.req)
+	}
+	return tracker.Place(f.clock(), f.untried(tried), call.req)
+}
+
+// entry describes a call for the queue.
+func (f *simFleet) entry(call *simCall) *admission.Entry {
+	over := f.daemons.tracker(call.daemon).IsOverShare(f.clock(), call.req)
+	return &admission.Entry{Urgency: call.req.Urgency, OverShare: over, StartBy: f.start.Add(call.startBy)}
+}
+
 // send places a request and sends it to the chosen server.
 func (f *simFleet) send(call *simCall, sends int, tried []*backend.Server) {
-	flight, refusal := f.daemons.tracker(call.daemon).Place(f.clock(), f.untried(tried), call.req)
+	flight, refusal := f.place(call, tried)
 	if refusal != nil {
-		f.refuse(call, refusal.RetryAfter)
+		if refusal.Reason != SlotsUsed || !f.enqueue(call) {
+			f.refuse(call, refusal.RetryAfter)
+		}
 		return
 	}
+	if !call.counted {
+		call.counted = true
+		f.daemons.tracker(call.daemon).RecordAccepted(f.clock(), call.req)
+	}
 	f.counts.arrivals++
 	e := f.engines[flight.Server]
 	job := &simJob{call: call, flight: flight, engine: e, sends: sends + 1, sentAt: f.now, last: f.now}
@@ -348,7 +435,8 @@
 		f.requests++
 		call.daemon = f.rnd.IntN(f.load.daemons)
 		call.req.Domain = fmt.Sprint("d", call.daemon%3)
-		f.send(call, 0, nil)
+		call.startBy = f.now + c.target/4
+		f.offer(call)
 	})
 }
 
@@ -368,6 +456,49 @@
 // served returns the share of calls that got an answer, in time or late.
 func (s simShares) served() float64 { return s.inTime + s.late }
 
+// enqueue makes a call wait for a slot at its daemon, if it is likely to start in time.
+func (f *simFleet) enqueue(call *simCall) bool {
+	if !f.load.queued {
+		return false
+	}
+	q := f.queues[call.daemon]
+	if q == nil {
+		q = &admission.Queue{}
+		f.queues[call.daemon] = q
+	}
+	tracker := f.daemons.tracker(call.daemon)
+	pace := tracker.Pace(f.clock(), f.servers, call.req)
+	e := f.entry(call)
+	call.hadTurn = false
+	if !pace.MayStart(f.clock(), e, q.Ahead(e)) {
+		return false
+	}
+	f.waiting[e] = call
+	q.Push(e, admission.Limits{Requests: 256, Bytes: 1})
+	f.counts.queued++
+	if q.Len() == 1 {
+		f.after(pace.Interval, func() { f.turn(q, pace.Interval) })
+	}
+	return true
+}
+
+// turn gives the first call in a queue its turn.
+func (f *simFleet) turn(q *admission.Queue, interval time.Duration) {
+	for _, e := range q.TakeLate(f.clock()) {
+		f.refuse(f.waiting[e], simFullRetry)
+	}
+	e := q.Head()
+	if e == nil {
+		return
+	}
+	q.Remove(e)
+	f.waiting[e].hadTurn = true
+	f.send(f.waiting[e], 0, nil)
+	if q.Len() > 0 {
+		f.after(interval, func() { f.turn(q, interval) })
+	}
+}
+
 // shares returns the shares of a class among the calls that arrived in a time.
 func (f *simFleet) shares(class int, from, to time.Duration) simShares {
 	var s simShares
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -117,14 +117,19 @@
 	return min(1, max(0, (fullOccupancy-used/slots)/(fullOccupancy-openOccupancy)))
 }
 
-// admitBySlots returns a refusal if the request isn't accepted at the present use of the slots,
-// and nil otherwise. Requests without a maximum wait are always accepted.
-func admitBySlots(candidates []Candidate, req *Request, rnd *rand.Rand) *Refusal {
-	if req.MaxWait == 0 || rnd.Float64() < acceptedShare(candidates, req) {
+// admitBySlots returns a refusal if the request isn't among the share of its customer's requests that is accepted
+// at the present use of the slots, and nil otherwise. Requests without a maximum wait are always accepted.
+func admitBySlots(share float64, req *Request, rnd *rand.Rand) *Refusal {
+	if req.MaxWait == 0 || rnd.Float64() < share {
 		return nil
 	}
-	share := minReturnShare + (maxReturnShare-minReturnShare)*rnd.Float64()
-	return &Refusal{Reason: slotsUsed, MaxWait: req.MaxWait, RetryAfter: time.Duration(share * float64(req.Target))}
+	return newSlotRefusal(share, req, rnd)
+}
+
+// newSlotRefusal returns a refusal with a random delay, so that callers don't return at the same time.
+func newSlotRefusal(share float64, req *Request, rnd *rand.Rand) *Refusal {
+	delay := minReturnShare + (maxReturnShare-minReturnShare)*rnd.Float64()
+	return &Refusal{Reason: SlotsUsed, MaxWait: req.MaxWait, AcceptedShare: share, RetryAfter: time.Duration(delay * float64(req.Target))}
 }
 
 // reservedShare is the share of the servers that are reserved for the slots that tight requests
--- a/placement/slots_test.go
+++ b/placement/slots_test.go
@@ -35,14 +35,14 @@
 	req := Request{Urgency: 2, MaxWait: time.Second, Target: time.Second}
 	delays := map[time.Duration]bool{}
 	for range 100 {
-		refusal := admitBySlots(occupied(4, 12, 12, 12), &req, rnd)
+		refusal := admitBySlots(acceptedShare(occupied(4, 12, 12, 12), &req), &req, rnd)
 		assert.Assert(t, refusal != nil)
 		assert.Assert(t, refusal.RetryAfter > 0 && refusal.RetryAfter < req.Target)
 		delays[refusal.RetryAfter] = true
 	}
 	assert.Assert(t, len(delays) > 50, "callers would return at the same time")
 	req.MaxWait = 0
-	assert.Assert(t, admitBySlots(occupied(4, 12, 12, 12), &req, rnd) == nil, "the most urgent requests are never refused")
+	assert.Assert(t, admitBySlots(acceptedShare(occupied(4, 12, 12, 12), &req), &req, rnd) == nil, "the most urgent requests are never refused")
 }
 
 func TestFullServersGetNoRequestsWhileOthersHaveRoom(t *testing.T) {
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/fairshare"
 )
 
 const (
@@ -27,6 +28,8 @@
 // concurrent use.
 type Tracker struct {
 	log *log.Logger
+	// shares divides scarce slots among customers; nil if they aren't divided.
+	shares *fairshare.Ledger
 
 	mu      sync.Mutex
 	rnd     *rand.Rand
@@ -82,10 +85,11 @@
 	reported serverLoad
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker(seed uint64, logger *log.Logger) *Tracker {
+// NewTracker returns an empty tracker. If shares is nil, scarce slots are not divided among customers.
+func NewTracker(seed uint64, shares *fairshare.Ledger, logger *log.Logger) *Tracker {
 	return &Tracker{
 		log:         logger,
+		shares:      shares,
 		rnd:         rand.New(rand.NewPCG(seed, 0)),
 		servers:     map[backend.Instance]*serverState{},
 		peerLoads:   map[backend.Instance]map[string]peerLoad{},
@@ -100,18 +104,14 @@
 func (t *Tracker) Place(now time.Time, servers []*backend.Server, req Request) (*InFlight, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := make([]Candidate, len(servers))
-	for i, s := range servers {
-		candidates[i] = t.candidate(now, s, req)
-	}
+	candidates := t.candidates(now, servers, req)
 	contenders := 1
 	if len(req.Prompt) > 0 {
 		scarce := slotsScarce(candidates)
 		if scarce {
 			contenders = t.daemons
 		}
-		markReserved(candidates, t.reservedCount(now, candidates))
-		if refusal := admitBySlots(candidates, &req, t.rnd); refusal != nil {
+		if refusal := admitBySlots(t.acceptedShare(now, candidates, &req), &req, t.rnd); refusal != nil {
 			return nil, refusal
 		}
 		candidates = sample(withRoom(candidates, &req, scarce), req, sampleShare(contenders, meantFor(candidates, &req)), t.rnd)
