--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -104,7 +104,7 @@
 	names, claims := l.claims(now, class)
 	i, known := slices.BinarySearch(names, customer)
 	if !known {
-		names, claims = slices.Insert(names, i, customer), slices.Insert(claims, i, claim{})
+		claims = slices.Insert(claims, i, claim{})
 	}
 	setWeights(claims, l.mean[class])
 	if claims[i].offered == 0 {
