Believe the place of an event only where it is the next one

What callers saw: streams that ended as complete with pieces missing or twice, for example 1, 4, 5, 6 of six, or 1, 2, 3, 3, 4, 5, 6.

Cause: the position after an event was taken from the event itself. The first event of an attempt, or of the answer to a caller's resume, was believed under any ID; an event without an ID or with an unreadable one had no place, so the next server sent it again; bytes of an event without its end were passed on at the end of a stream. The next server went on after a position that nothing confirmed.

Change: the number of the next event is known beforehand, 1 or the one after the last event that the caller has. What doesn't fit isn't passed on, and the stream goes on elsewhere after the last event that fits. It is broken off where an event that was passed on is in doubt. A silent server is closed only once another one has sent an event that fits. Nothing is held back but a first event without an ID on a route whose streams may be resumed.

Why it works: the position moves only by events that were expected, so it is what the caller has, whatever servers send.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -175,7 +175,7 @@
 	// Until then, a daemon that has just started has no contact with the others.
 	q.cfg.Limits.AwaitSync(ctx)
 	q.cfg.Quarantine.AwaitSync(ctx)
-	if q.resumesStream() && !q.findOrigin(ctx) {
+	if q.resumesStream() && !(q.checkLastEvent() && q.findOrigin(ctx)) {
 		q.recordOutcome()
 		return
 	}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -119,6 +119,9 @@
 	tracer  trace.Tracer
 	log     *log.Logger
 	origins knownOrigins
+	// dial opens direct connections to servers, tunnels those through other daemons.
+	dial    reach.DialFunc
+	tunnels reach.Tunnels
 	// quarantine is the quarantine list of a fleet of one daemon.
 	quarantine *quarantine.List
 
@@ -145,7 +148,7 @@
 
 func newDeployment(t *testing.T, routes ...route.Route) *deployment {
 	t.Helper()
-	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer(""), log: log.New(io.Discard)}
+	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer(""), log: log.New(io.Discard), dial: upstream.Dial, tunnels: noTunnels{}}
 	d.catalog = backend.NewCatalog(log.New(io.Discard))
 	d.quarantine = quarantine.New("self", func(uint64) string { return "self" }, d.log, metrics.NewRegistry())
 	d.quarantine.MarkSynced()
@@ -164,7 +167,7 @@
 	limits, holdOffs := d.limits(), holdoff.New(d.log, registry)
 	notices := notice.NewReceiver(limits, holdOffs, notice.NewLeavingServers(d.catalog), d.log)
 	pool := upstream.NewPool(upstream.Config{
-		Connector:   reach.NewConnector(reach.NewTable(d.log, registry), upstream.Dial, noTunnels{}),
+		Connector:   reach.NewConnector(reach.NewTable(d.log, registry), d.dial, d.tunnels),
 		ParseNotice: testHeaderCodec{}.Notice, Observe: notices.Receive, Metrics: registry,
 	})
 	f := New(Config{
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -41,6 +41,16 @@
 	return q.route.Kind == route.Streaming && q.route.Resumable && q.meta.LastEvent != ""
 }
 
+// checkLastEvent reports whether the caller names the number of an event after which the stream can continue. If not, it
+// refuses the request: no stream that can be resumed has such an event.
+func (q *request) checkLastEvent() bool {
+	_, err := parseEventNumber(q.meta.LastEvent)
+	if err != nil {
+		q.refuse(http.StatusBadRequest, "ID of the last event is not a number", 0)
+	}
+	return err == nil
+}
+
 // findOrigin determines where the stream that the caller resumes began. If the stream can't
 // continue there, it refuses the request and returns false.
 func (q *request) findOrigin(ctx context.Context) bool {
--- a/forward/split_test.go
+++ b/forward/split_test.go
@@ -26,7 +26,7 @@
 func TestResumePointIsTheLastEventThatWasRelayed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const events = 12
-		spoiled := rapid.IntRange(2, events+1).Draw(t, "spoiled") // events+1: none
+		spoiled := rapid.IntRange(1, events+1).Draw(t, "spoiled") // events+1: none
 		number := rapid.IntRange(0, events+3).Filter(func(n int) bool { return n != spoiled }).Draw(t, "number")
 		var stream strings.Builder
 		for id := 1; id <= events; id++ {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/jacinththread/jacinththread/placement"
@@ -18,126 +16,36 @@
 const (
 	// streamReadBytes is the size of the buffer for reading a stream.
 	streamReadBytes = 4 << 10
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
 	// gapTimeoutFactor is how many times its target for the gap between events
 	// a resumable stream may stall before it is resumed at another server.
 	gapTimeoutFactor = 4
 )
 
-var (
-	errEventOrder = errors.New("event does not follow the last one")
-	errEventSize  = errors.New("event is too long")
-	// errStreamEnd means that a stream which ends with its connection didn't end after an event.
-	errStreamEnd = fmt.Errorf("connection ended inside an event or before the first one: %w", io.ErrUnexpectedEOF)
-)
-
-// eventEnd is the empty line that ends an event.
-var eventEnd = []byte("\n\n")
-
-// eventSplitter splits a stream of server-sent events at event boundaries and
-// tracks the ID of the last event that was relayed.
-type eventSplitter struct {
-	// relayed is the position after the last relayed event, from which the stream can be resumed.
-	relayed eventPosition
-	// pending holds the bytes that were received but not relayed yet.
-	pending []byte
-}
-
-// lastEventID returns the value of Last-Event-ID for resuming the stream, or ""
-// if no event with an ID was relayed.
-func (e *eventSplitter) lastEventID() string {
-	if e == nil || !e.relayed.hasID {
-		return ""
-	}
-	return strconv.FormatInt(e.relayed.lastID, 10)
-}
+// errStreamEnd means that a stream ended inside an event, or with its connection before the first event.
+var errStreamEnd = fmt.Errorf("stream ended inside an event or before the first one: %w", io.ErrUnexpectedEOF)
 
-// push appends received bytes and returns the complete events among the pending
-// bytes, up to the first one that doesn't follow the one before, which is an error.
-// They stay pending until discard.
-func (e *eventSplitter) push(p []byte) ([]byte, error) {
-	e.pending = append(e.pending, p...)
-	position, n := e.relayed, 0
-	for event := range completeEvents(e.pending) {
-		if err := position.advance(event); err != nil {
-			return e.pending[:n], err
-		}
-		n += len(event)
+// newSplitter returns the splitter for a request's stream. If the caller resumes a stream, only the event after the last
+// one that it has can be the first one. On a route whose streams can't be resumed, a server may ignore what the caller
+// has.
+func (q *request) newSplitter() *eventSplitter {
+	last, err := parseEventNumber(q.meta.LastEvent)
+	if err != nil {
+		last = 0
 	}
-	if n == 0 && len(e.pending) > maxEventBytes {
-		return nil, errEventSize
+	position := eventPosition{last: last}
+	if q.resumesStream() {
+		position.numbering = numbered
 	}
-	return e.pending[:n], nil
-}
-
-// discard drops the first n pending bytes after they were relayed.
-func (e *eventSplitter) discard(n int) {
-	for event := range completeEvents(e.pending[:n]) {
-		e.relayed.advance(event)
-	}
-	e.pending = append(e.pending[:0], e.pending[n:]...)
-}
-
-// completeEvents iterates over the complete events at the beginning of p.
-func completeEvents(p []byte) iter.Seq[[]byte] {
-	return func(yield func([]byte) bool) {
-		for {
-			end := bytes.Index(p, eventEnd)
-			if end < 0 || !yield(p[:end+len(eventEnd)]) {
-				return
-			}
-			p = p[end+len(eventEnd):]
-		}
-	}
-}
-
-// eventPosition is a position in a stream between two events.
-type eventPosition struct {
-	// lastID is the ID of the last event; valid if hasID is set.
-	lastID int64
-	hasID  bool
-}
-
-// advance moves the position behind an event. It fails if the event doesn't follow.
-func (p *eventPosition) advance(event []byte) error {
-	next := *p
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			continue // Non-numeric IDs have no defined order.
-		}
-		if err := next.moveTo(id); err != nil {
-			return err
-		}
-	}
-	*p = next
-	return nil
-}
-
-func (p *eventPosition) moveTo(id int64) error {
-	if !p.hasID {
-		p.lastID, p.hasID = id, true
-		return nil
-	}
-	if id != p.lastID+1 {
-		return fmt.Errorf("%w: %d after %d", errEventOrder, id, p.lastID)
-	}
-	p.lastID = id
-	return nil
+	return &eventSplitter{relayed: position, holdsUnnumbered: q.route.Resumable}
 }
 
 // relayStream relays events as they arrive. It returns true if the stream
 // should be resumed at another server.
 func (q *request) relayStream(ctx context.Context, res attemptResult) (retry bool) {
 	if q.stream == nil {
-		q.stream = &eventSplitter{}
+		q.stream = q.newSplitter()
 	}
-	q.stream.pending = q.stream.pending[:0] // Drops the partial event of the previous server.
+	q.stream.beginAttempt()
 	err := q.copyEvents(ctx, res)
 	if err == nil {
 		q.recordAnswered(res.inFlight.Server)
@@ -154,7 +62,10 @@
 		q.abort(left, err.Error())
 		return false
 	}
-	return q.retryOrGiveUp(ctx, res, fmt.Errorf("stream broke off after event %d: %w", q.stream.relayed.lastID, err))
+	if errors.Is(err, errStrayBytes) && q.w.Started() {
+		q.stream.relayed.numbering = uncertain
+	}
+	return q.retryOrGiveUp(ctx, res, fmt.Errorf("stream broke off after event %d: %w", q.stream.relayed.last, err))
 }
 
 // relayTakenOver relays the stream from the server that has taken it up. The silent one has been closed.
@@ -200,10 +111,10 @@
 // before the first event and a multiple of the gap target afterwards. Zero
 // means no limit, for streams that cannot be resumed at another server.
 func (q *request) gapTimeout() time.Duration {
-	if !q.route.Repeatable() || q.attempts >= q.route.MaxAttempts {
+	if !q.route.Repeatable() || q.attempts >= q.route.MaxAttempts || !q.canContinue() {
 		return 0
 	}
-	if !q.stream.relayed.hasID {
+	if !q.w.Started() {
 		return q.firstByteTimeout()
 	}
 	return max(minReadTimeout, gapTimeoutFactor*q.route.GapTarget)
@@ -244,12 +155,16 @@
 	return nil
 }
 
-// checkStreamEnd returns an error if a stream that ends with its connection has been broken off.
+// checkStreamEnd returns an error if a stream has been broken off: if it is numbered and ends inside an event, or if it
+// ends with its connection and the server may not have ended it.
 func (q *request) checkStreamEnd(res attemptResult) error {
+	if q.stream.relayed.numbering == numbered && len(bytes.TrimSpace(q.stream.pending)) > 0 {
+		return errStreamEnd
+	}
 	if res.response.Framing != upstream.UntilClose {
 		return nil
 	}
-	resumed := q.stream.relayed.hasID || q.meta.LastEvent != ""
+	resumed := q.stream.relayed.numbering == numbered
 	if len(q.stream.pending) > 0 || q.attemptEvents == 0 && !resumed {
 		return errStreamEnd
 	}
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -49,7 +49,7 @@
 // have no room.
 func (q *request) onSilence(ctx context.Context) upstream.SilenceFunc {
 	return func(heard <-chan bool) error {
-		if len(q.stream.pending) > 0 {
+		if q.stream.endsInsideEvent() {
 			return errStalled
 		}
 		silent := q.saveAttempt()
@@ -117,6 +117,7 @@
 		next.response.Close()
 		q.attempts++
 		next.inFlight.End(time.Now(), q.placementResult(exchange, next.err))
+		q.cfg.Log.Info("silent stream not taken up", "request_id", q.meta.ID, "server", inFlight.Server.ID, "err", next.err)
 	}
 	span.SetStatus(codes.Error, "stream not taken up")
 	span.End()
@@ -124,13 +125,13 @@
 	return next, false
 }
 
-// awaitFirstEvent waits until a server that takes up a stream begins to send it.
+// awaitFirstEvent waits until a server that takes up a stream has sent an event that follows those that the caller has.
 func (q *request) awaitFirstEvent(res attemptResult) error {
 	if !isEventStream(res.response) || !q.cfg.HeaderCodec.IsAuthentic(res.response.Header) {
 		return fmt.Errorf("%w: status %d instead of an event stream", errServerFailed, res.response.Status)
 	}
 	res.response.SetReadTimeout(q.firstByteTimeout())
-	return res.response.AwaitBody()
+	return res.response.AwaitBody(q.stream.continuedBy)
 }
 
 // chooseElsewhere chooses another server that may get the request now, and takes a retry for it. It returns nil if there
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -59,13 +59,20 @@
 	return n, n == 0 && isReadTimeout(err), err
 }
 
-// AwaitBody waits until the first bytes of the body have arrived. They are kept for Read.
-func (resp *Response) AwaitBody() error {
+// AwaitBody reads the body until enough returns true for the bytes received so far, or an error. The bytes are kept for
+// Read.
+func (resp *Response) AwaitBody(enough func(received []byte) (bool, error)) error {
+	var received []byte
 	buf := make([]byte, readBufferBytes)
-	n, err := resp.Read(buf)
-	if n > 0 {
-		resp.first = buf[:n]
-		return nil
+	for {
+		n, err := resp.Read(buf)
+		received = append(received, buf[:n]...)
+		if ok, unfit := enough(received); ok || unfit != nil {
+			resp.first = received
+			return unfit
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
 }
