Break off completions whose chunks contradict each other

What callers saw: on the product's own path, a completion that ended with [DONE] and had tokens missing or twice, such as "zero one two three zero one two three four five six seven" after a chunk with a negative count of tokens.

The position after a chunk was its start plus the count of tokens that it states, whatever that was; an event whose field of data was spoiled was skipped like a comment; after a chunk whose offset contradicted the one before, the stream was resumed at the position in doubt.

Change: a chunk with text has one token at least; offsets of chunks without text are checked too, so that the last chunk confirms the whole; a line that is no field of an event is an error; a stream whose chunks contradict each other isn't resumed.

--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -27,6 +27,9 @@
 	// ErrUnexpectedOffset means that a chunk does not start at the expected
 	// token.
 	ErrUnexpectedOffset = errors.New("stream does not continue at the expected token")
+	// ErrContradictoryOffset means that a chunk does not start where the one before
+	// ended, so that it isn't known up to which token the stream was received.
+	ErrContradictoryOffset = errors.New("chunk of the stream contradicts the one before")
 )
 
 // StatusError is a response with a status other than 200 and 503.
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -152,18 +152,15 @@
 	return s.client.classifyError(s.ctx, err, true)
 }
 
-// advance checks the token offset of a chunk and records when it arrived. The
-// first token of a stream switches the watchdog to the timeout between tokens.
+// advance checks the place of a chunk and records when its tokens arrived. The first token of a stream switches the
+// watchdog to the timeout between tokens.
 func (s *Stream) advance(c *Chunk) error {
+	if err := s.checkOffset(c); err != nil {
+		return err
+	}
 	if c.Text() == "" {
 		return nil
 	}
-	if c.Offset != nil && *c.Offset != s.nextToken {
-		return fmt.Errorf("%w: expected token %d, got %d", ErrUnexpectedOffset, s.nextToken, *c.Offset)
-	}
-	if c.Offset == nil && s.startToken > 0 && s.nextToken == s.startToken {
-		return fmt.Errorf("%w: first chunk of a resumed stream has no offset", ErrUnexpectedOffset)
-	}
 	s.nextToken += c.tokenCount()
 	s.lastTokenAt = time.Now()
 	if s.firstTokenAt.IsZero() {
@@ -173,11 +170,27 @@
 	return nil
 }
 
+// checkOffset checks that a chunk starts at the next token. If it doesn't and the stream has had tokens, either this chunk
+// or the token count of the one before is wrong.
+func (s *Stream) checkOffset(c *Chunk) error {
+	switch {
+	case c.Text() != "" && c.tokenCount() < 1:
+		return fmt.Errorf("%w: a chunk with text has %d tokens", ErrIncomplete, c.tokenCount())
+	case c.Offset != nil && *c.Offset != s.nextToken && s.nextToken > s.startToken:
+		return fmt.Errorf("%w: expected token %d, got %d", ErrContradictoryOffset, s.nextToken, *c.Offset)
+	case c.Offset != nil && *c.Offset != s.nextToken:
+		return fmt.Errorf("%w: expected token %d, got %d", ErrUnexpectedOffset, s.nextToken, *c.Offset)
+	case c.Offset == nil && c.Text() != "" && s.startToken > 0 && s.nextToken == s.startToken:
+		return fmt.Errorf("%w: first chunk of a resumed stream has no offset", ErrUnexpectedOffset)
+	}
+	return nil
+}
+
 // Offset returns the index of the next token.
 func (s *Stream) Offset() int { return s.nextToken }
 
-// readData returns the data field of the next server-sent event. Other fields
-// and comments are skipped, but count as progress.
+// readData returns the data field of the next server-sent event. Other fields of the standard and comments are skipped,
+// but count as progress. A line that is none of them may be a spoiled field of data.
 func (s *Stream) readData() ([]byte, error) {
 	var data []byte
 	for {
@@ -195,6 +208,8 @@
 				data = append(data, '\n')
 			}
 			data = append(data, value...)
+		case !isSkippedLine(line):
+			return nil, fmt.Errorf("%w: line %.40q is no field of an event", ErrIncomplete, line)
 		}
 		if len(data) > maxEventBytes {
 			return nil, fmt.Errorf("event exceeds %d bytes", maxEventBytes)
@@ -202,6 +217,16 @@
 	}
 }
 
+// isSkippedLine reports whether a line is empty, a comment or a field of an event that the router doesn't use.
+func isSkippedLine(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 func (s *Stream) readLine() ([]byte, error) {
 	var line []byte
 	for {
--- a/forward/spoiled_test.go
+++ b/forward/spoiled_test.go
@@ -77,6 +77,7 @@
 
 // events returns the events that are sent after the one with a number, each with what was done to it.
 func (p attemptPlan) events(last int) []string {
+	expected := last + 1
 	if p.restarts {
 		last = 0
 	}
@@ -85,7 +86,7 @@
 		text := event(n)
 		if spoil, ok := spoilings[p.spoiling]; ok && len(out) == p.spoiled {
 			other := p.other
-			if other == n {
+			for other == n || p.restarts && other == expected { // Another piece under the expected number can't be told.
 				other++
 			}
 			text = spoil(n, other)
@@ -123,6 +124,8 @@
 	if cut {
 		events = events[:plan.cutAfter]
 	}
+	// A server that ends in due form without its last event sends a whole stream as far as a daemon can tell.
+	cut = cut || len(events) > 0 && events[len(events)-1] == ""
 	if plan.together {
 		events = []string{strings.Join(events, "")}
 	}
--- a/gateway/completion_run.go
+++ b/gateway/completion_run.go
@@ -130,6 +130,8 @@
 		return false
 	case r.offset > 0 && !r.completion.resumable:
 		return false
+	case r.offset > 0 && errors.Is(err, dispatch.ErrContradictoryOffset):
+		return false // What the caller has can't be told.
 	case dispatch.NotRun(err):
 		return true
 	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
