Try a request after crashes that came together, and end any block after a time

What callers saw: 503 for every request of a small route, without an end, after three of 18 servers crashed together; the first route was served in full.

Cause: three crashes without an answer withhold what the requests under them have in common, and nothing ended that but new software, a customer without crashes or ten minutes without such requests. The block kept away the answers that would have shown it wrong.

Crash times that a store has from a clock that is ahead count as now.

Why it works: a trial tells what crashes can't. A request that crashes servers crashes the trial's too, and its crashes are then apart from each other.

--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -18,5 +18,6 @@
 // request that was already running may bring about. Where it may be wrong or outdated, one
 // daemon, chosen by consistent hashing, allows one trial request: for a customer whose requests were in
 // none of the crashes, to other software than that which crashed, or after a long time without any
-// request with the subject. The number of trials is bounded as well.
+// request with the subject, after crashes that came together, or after a long time in any case. The number of trials
+// is bounded as well.
 package quarantine
--- a/quarantine/stored.go
+++ b/quarantine/stored.go
@@ -87,7 +87,7 @@
 	for _, c := range v.Crashes {
 		l.addCrash(subject, Crash{
 			Server: backend.Instance{ID: c.Server, Started: c.Started}, Software: Software{Service: c.Service, Version: c.Version},
-			Customer: c.Customer, At: time.UnixMilli(c.AtMs),
+			Customer: c.Customer, At: earlier(time.UnixMilli(c.AtMs), now),
 		}, "store")
 	}
 	rec := l.records[subject]
@@ -103,5 +103,13 @@
 	return nil
 }
 
+// earlier returns the earlier one of two times. Clocks of other daemons may be ahead.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Owns reports whether the local daemon is the one that stores the block on a subject.
 func (l *List) Owns(s Subject) bool { return l.owner(s.Hash) == l.self }
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -170,8 +170,8 @@
 	}
 	for _, subject := range tried {
 		rec := l.records[subject]
-		rec.trials++
-		rec.triedAt, rec.seenAt, rec.roundsLeft = now, now, gossip.ChangeRounds
+		rec.addTrial(now)
+		rec.roundsLeft = gossip.ChangeRounds
 	}
 	l.trials.Inc(1)
 	l.log.Info("withheld request may be sent as a trial", "customer", r.Customer, "service", s.Service, "version", s.Version, "subjects", len(tried))
