--- a/quarantine/together_test.go
+++ b/quarantine/together_test.go
@@ -45,18 +45,24 @@
 
 // It guards against a trial that wasn't sent in the end and leaves a wrong block in force.
 func TestTrialThatToldNothingIsMadeAgain(t *testing.T) {
-	l, now := newTestList(), time.Now()
-	r := Request{Subjects: []Subject{part("a", 1)}, Customer: "c"}
-	crashes(l, r, oldSoftware, 0, crashesToWithhold, now)
-	trials := 0
-	for after := time.Duration(0); after < blockTime; after += time.Second {
-		if l.TryOnce(t.Context(), r, oldSoftware, now.Add(after)) {
+	for _, crashesUnder := range [][]bool{{false, false, false}, {true, false, false}, {false, true, false}} {
+		l, now := newTestList(), time.Now()
+		r := Request{Subjects: []Subject{part("a", 1)}, Customer: "c"}
+		crashes(l, r, oldSoftware, 0, crashesToWithhold, now)
+		trials := 0
+		for after := time.Duration(0); after < blockTime; after += time.Second {
+			at := now.Add(after)
+			if !l.TryOnce(t.Context(), r, oldSoftware, at) {
+				l.Withheld(r, at)
+				continue
+			}
+			if trials < len(crashesUnder) && crashesUnder[trials] {
+				crashes(l, r, oldSoftware, 100+trials, 1, at)
+			}
 			trials++
-		} else {
-			l.Withheld(r, now.Add(after))
 		}
+		assert.Equal(t, trials, maxTrials+maxInconclusive, "%v", crashesUnder)
 	}
-	assert.Equal(t, trials, maxTrials+maxInconclusive)
 }
 
 // TestBlockFromOutsideCrashesEnds lets servers crash at any times, under trials as well, and checks that requests that crash
