--- a/forward/filter.go
+++ b/forward/filter.go
@@ -39,8 +39,7 @@
 // awaitOrRefuse waits until the servers are worth another check. If that takes too long, it ends the request
 // and returns false.
 func (q *request) awaitOrRefuse(ctx context.Context, o *obstacle) bool {
-	latest := q.in.Arrived.Add(time.Duration(filterWaitShare * float64(q.route.Target)))
-	if o.wait > 0 && time.Now().Add(o.wait).Before(latest) && pause.For(ctx, o.wait) {
+	if q.await(ctx, o) {
 		return true
 	}
 	q.cfg.Log.Info("request not sent, no server may get it now", "request_id", q.meta.ID, "service", q.service,
@@ -52,3 +51,9 @@
 	q.refuse(http.StatusServiceUnavailable, o.err.Error(), o.retryAfter)
 	return false
 }
+
+// await waits until the servers are worth another check. It returns false if that takes too long.
+func (q *request) await(ctx context.Context, o *obstacle) bool {
+	latest := q.in.Arrived.Add(time.Duration(filterWaitShare * float64(q.route.Target)))
+	return o.wait > 0 && time.Now().Add(o.wait).Before(latest) && pause.For(ctx, o.wait)
+}
