--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -59,6 +59,7 @@
 
 // It guards against a burst of a less urgent class that takes all slots and fills the queues of the servers.
 func TestUrgentClassesAreServedWhileALessUrgentOneOverloadsTheServers(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{7, 74} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
 			t.Parallel()
--- a/placement/shares_test.go
+++ b/placement/shares_test.go
@@ -90,6 +90,7 @@
 
 // It guards against a customer at several times its usual that takes the capacity of the others.
 func TestOthersKeepTheirSharesWhileOneCustomerSendsSevenTimesItsUsual(t *testing.T) {
+	t.Parallel()
 	for _, l := range []hotLoad{{daemons: 7}, {daemons: 72}, {daemons: 195}, {daemons: 410}, {daemons: 72, cut: 10}} {
 		t.Run(fmt.Sprintf("%d daemons, %d cut off", l.daemons, l.cut), func(t *testing.T) {
 			t.Parallel()
--- a/placement/sim_fleet_test.go
+++ b/placement/sim_fleet_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/jacinththread/jacinththread/admission"
@@ -227,11 +228,26 @@
 	if l.customers == 0 {
 		return 1
 	}
-	sum := 0.0
-	for i := range l.customers {
+	return simCustomerShares(l.customers)[customer-1]
+}
+
+// simCustomerShareTables holds the results of simCustomerShares, which is called for each request.
+var simCustomerShareTables sync.Map
+
+// simCustomerShares returns the usual shares of a number of customers.
+func simCustomerShares(customers int) []float64 {
+	if table, ok := simCustomerShareTables.Load(customers); ok {
+		return table.([]float64)
+	}
+	shares, sum := make([]float64, customers), 0.0
+	for i := range customers {
 		sum += simCustomerSize(i + 1)
 	}
-	return simCustomerSize(customer) / sum
+	for i := range customers {
+		shares[i] = simCustomerSize(i+1) / sum
+	}
+	simCustomerShareTables.Store(customers, shares)
+	return shares
 }
 
 // simCustomerSize returns the relative size of a customer.
