Don't resume a stream on a route that doesn't allow it

Found by reading the paths on which a resume point is used.

Cause: whether a stream may go on was decided by whether it has a resume point and the request may be repeated, not by the route's own word.

Evidence: TestStreamOfARouteWithoutResumeIsNotJoined failed before (two runs).

Change: a stream that has begun goes on elsewhere only where the route says so.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -100,7 +100,7 @@
 		assert.Equal(t, res.status, http.StatusBadGateway)
 	}
 	body := strings.Repeat("x", 2*maxBufferedBytes)
-	d.addServer("whole", respondsWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
+	d.addServer("whole", respondsWith(fmt.Sprintf("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
 	res := d.send(http.MethodPost, "/large", "answered")
 	assert.Equal(t, len(res.body), len(body))
 	d.addEndingServer("s3", func(backend.Server) {})
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -38,9 +38,12 @@
 
 // resumesStream reports whether the caller resumes a stream of which it already has events.
 func (q *request) resumesStream() bool {
-	return q.route.Kind == route.Streaming && q.route.Resumable && q.meta.LastEvent != ""
+	return q.mayResume() && q.meta.LastEvent != ""
 }
 
+// mayResume reports whether the route allows a stream to go on at another server.
+func (q *request) mayResume() bool { return q.route.Kind == route.Streaming && q.route.Resumable }
+
 // checkLastEvent reports whether the caller names the number of an event after which the stream can continue. If not, it
 // refuses the request: no stream that can be resumed has such an event.
 func (q *request) checkLastEvent() bool {
@@ -116,7 +119,7 @@
 
 // canContinue reports whether another server could continue after what the caller already has.
 func (q *request) canContinue() bool {
-	return !q.w.Started() || q.stream.lastEventID() != ""
+	return !q.w.Started() || q.mayResume() && q.stream.lastEventID() != ""
 }
 
 // noServerError returns why there is no server to try.
--- a/forward/spoiled_test.go
+++ b/forward/spoiled_test.go
@@ -318,3 +318,15 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, ": open\n\nretry: 100\n\n"+event(1)+": open\n\n"+event(2))
 }
+
+// It guards against pieces of two runs that are joined on a route that may be repeated but not resumed.
+func TestStreamOfARouteWithoutResumeIsNotJoined(t *testing.T) {
+	d := newDeployment(t, repeatRoute)
+	d.addServer("a", streams(eventCount, 5, resetConn))
+	d.addServer("b", streams(eventCount, 5, resetConn))
+	d.start()
+	got := d.send(http.MethodPost, "/repeat/", "r")
+	assert.Assert(t, got.err != nil, "the caller got %q", got.body)
+	assert.Assert(t, strings.HasPrefix(eventsFrom(1, 4), got.body), got.body)
+	assert.Equal(t, len(d.runsOf("r")), 1)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -36,7 +36,7 @@
 	if q.resumesStream() {
 		position.numbering = numbered
 	}
-	return &eventSplitter{relayed: position, holdsUnnumbered: q.route.Resumable}
+	return &eventSplitter{relayed: position, holdsUnnumbered: q.mayResume()}
 }
 
 // relayStream relays events as they arrive. It returns true if the stream
