--- a/gateway/spoiled_test.go
+++ b/gateway/spoiled_test.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/jacinththread/jacinththread/membership"
 )
 
 // retryDeposits is the number of first attempts that earn the retries of one stream.
@@ -114,10 +117,13 @@
 			})
 		}
 		h := newHarness(t)
+		var servers []membership.Server
 		for i := range 3 {
-			h.serve(fmt.Sprint("engine-", i), "llm", engine)
+			s := httptest.NewServer(engine)
+			t.Cleanup(s.Close)
+			servers = append(servers, membership.Server{Name: fmt.Sprint("engine-", i), Service: "llm", Addr: s.Listener.Addr().String()})
 		}
-		h.view.setNoScheduler(false) // Reports the change of servers.
+		h.view.setServers(servers)
 		for range retryDeposits {
 			h.gateway.retryBudgets.deposit(h.gateway.cfg.Bundles.Current().Class("counter"))
 		}
