--- a/Makefile
+++ b/Makefile
@@ -29,11 +29,11 @@
 
 # Simulations of large fleets take minutes of processor time, so they run by themselves, with a timeout of their own. Both
 # parts run, whatever the first one gives.
-LARGE_FLEETS := ^(TestOffenders|TestSoundRequests).*/300_daemons
+LARGE_FLEETS := ^(TestOffenders|TestSoundRequests).*/300_daemons|^(TestOthersKeepTheirShares|TestUrgentClassesAreServed)
 unit:
 	@status=0; \
 	$(GO) test -race -timeout $(TEST_TIMEOUT) -skip '$(LARGE_FLEETS)' $(PKGS) || status=1; \
-	$(GO) test -race -timeout $(TEST_TIMEOUT) -run '$(LARGE_FLEETS)' ./quarantine || status=1; \
+	$(GO) test -race -timeout $(TEST_TIMEOUT) -run '$(LARGE_FLEETS)' ./quarantine ./placement || status=1; \
 	exit $$status
 
 # Prints a line for each point of what must always hold. PROOF_SEED=N sets other
