--- a/forward/brittle_test.go
+++ b/forward/brittle_test.go
@@ -214,9 +214,7 @@
 	wg.Wait()
 }
 
-// TestBrittleServersAreUsedAndNotOverrun guards against servers that fail because the daemons together send them more
-// than they have room for, and against slots that are left free for that. It is the part of
-// TestBrittleServersAreNotOverrun in platform that decides, in virtual time.
+// It guards against servers that fail because the daemons together overrun them, and against slots that are left free for that.
 func TestBrittleServersAreUsedAndNotOverrun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newBrittleFleet(t)
--- a/forward/spoiled_test.go
+++ b/forward/spoiled_test.go
@@ -177,9 +177,7 @@
 	return nil
 }
 
-// TestStreamWithSpoiledEventsIsWholeOrBrokenOff lets servers spoil any event in any attempt, in any way, sent together
-// or one by one, directly or through another daemon, on routes whose streams may be resumed or not, for callers that
-// begin a stream or resume one.
+// It guards against streams that end as complete with events missing or twice after a server spoiled any event of any attempt.
 func TestStreamWithSpoiledEventsIsWholeOrBrokenOff(t *testing.T) {
 	var stream atomic.Int64
 	rapid.Check(t, func(rt *rapid.T) {
@@ -209,8 +207,7 @@
 	})
 }
 
-// TestSpoiledStreamIsTakenUpWhole guards against a first event in a wrong place that ends a silent but sound run, and
-// against one that the caller gets.
+// It guards against a silent but sound run that is ended for another server's event in a wrong place.
 func TestSpoiledStreamIsTakenUpWhole(t *testing.T) {
 	for name := range spoilings {
 		for _, index := range []int{0, 1} {
@@ -229,8 +226,7 @@
 	}
 }
 
-// TestCallersResumeIsWholeOrBrokenOff guards against an answer to a caller's resume that begins elsewhere than after the
-// caller's last event.
+// It guards against an answer to a caller's resume that begins elsewhere than after the caller's last event.
 func TestCallersResumeIsWholeOrBrokenOff(t *testing.T) {
 	for name, first := range map[string]string{
 		"earlier": event(2) + event(3), "the same": event(3), "later": event(5), "anew": event(1) + event(2) + event(3),
@@ -276,7 +272,7 @@
 	}
 }
 
-// TestUnnumberedStreamOfAResumableRouteIsRelayed checks that streams without IDs reach callers whole, also if they pause.
+// It guards against streams without IDs that are given up for a pause although nobody can take them up.
 func TestUnnumberedStreamOfAResumableRouteIsRelayed(t *testing.T) {
 	for _, pieces := range []int{1, 2, 5} {
 		for _, pause := range []time.Duration{time.Millisecond, minReadTimeout + 200*time.Millisecond} {
--- a/gateway/spoiled_test.go
+++ b/gateway/spoiled_test.go
@@ -100,8 +100,7 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-// TestStreamWithSpoiledChunksIsWholeOrBrokenOff lets engines spoil any chunk in any attempt, and checks that a stream that
-// ends as complete has each token once. It guards against a resume at a token that nothing confirms.
+// It guards against completions that end with tokens missing or twice after an engine spoiled any chunk of any attempt.
 func TestStreamWithSpoiledChunksIsWholeOrBrokenOff(t *testing.T) {
 	resumed := int64(0)
 	whole := strings.Join(words, " ") + " "
--- a/quarantine/together_test.go
+++ b/quarantine/together_test.go
@@ -23,8 +23,7 @@
 	assert.Assert(t, l.Permits(r, oldSoftware))
 }
 
-// TestSubjectThatCrashesServersStaysWithheld checks that a request that crashes every server gets as many trials as a block
-// has, and none of them soon after.
+// It guards against trials that let requests under which every server crashes through again and again.
 func TestSubjectThatCrashesServersStaysWithheld(t *testing.T) {
 	l, now := newTestList(), time.Now()
 	r := Request{Subjects: []Subject{part("a", 1)}, Customer: "c"}
@@ -65,8 +64,7 @@
 	}
 }
 
-// TestBlockFromOutsideCrashesEnds lets servers crash at any times, under trials as well, and checks that requests that crash
-// nothing are served again within the bound of a block after the last crash.
+// It guards against blocks that outlast the last crash by more than their bound, whenever servers crash for other reasons.
 func TestBlockFromOutsideCrashesEnds(t *testing.T) {
 	const step = time.Second
 	rapid.Check(t, func(t *rapid.T) {
