Count only accepted tunnels towards the limit of a daemon

Cause: Server.Serve counted a request before it was judged and until its handler returned. A request that was refused still counted while its reply was being sent, so refused requests could push out tunnels that there was room for, and replies gave too many tunnels. Change: a place is reserved in one step with the check of the limit, once the request is known to be allowed, and released when the attempt or the tunnel ends. A refused request has none by the time its reply is sent, so it can neither be counted nor push out another.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -52,14 +52,15 @@
 // Server carries the tunnels that other daemons open. It is safe for concurrent use.
 type Server struct {
 	cfg     ServerConfig
-	open    atomic.Int64
 	leaving atomic.Bool
 
 	opened, refused metrics.Counter
 	openGauge       metrics.Gauge
 
 	mu sync.Mutex
-	// users counts the tunnels of each daemon to each server.
+	// open is the number of tunnels that are open or being opened; at most MaxTunnels.
+	open int
+	// users counts these by daemon and server.
 	users map[userKey]int
 }
 
@@ -81,14 +82,29 @@
 	return names
 }
 
-// addUser changes the number of tunnels of a daemon to a server.
-func (s *Server) addUser(daemon string, server backend.Instance, n int) {
+// reserve takes a place for a tunnel. It returns false if there is none.
+func (s *Server) reserve(daemon string, server backend.Instance) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open >= s.cfg.MaxTunnels {
+		return false
+	}
+	s.users[userKey{daemon, server}]++
+	s.open++
+	s.openGauge.Update(int64(s.open))
+	return true
+}
+
+// release gives back the place of a tunnel that ended or wasn't opened.
+func (s *Server) release(daemon string, server backend.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := userKey{daemon, server}
-	if s.users[key] += n; s.users[key] == 0 {
+	if s.users[key]--; s.users[key] == 0 {
 		delete(s.users, key)
 	}
+	s.open--
+	s.openGauge.Update(int64(s.open))
 }
 
 // NewServer returns a Server and registers its metrics.
@@ -105,8 +121,12 @@
 // Leave makes the server open no further tunnels. Those that are open go on.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Open returns the number of tunnels that are carried now.
-func (s *Server) Open() int { return int(s.open.Load()) }
+// Open returns the number of tunnels that are open or being opened.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
 
 // Serve implements peer.StreamHandler.
 func (s *Server) Serve(ctx context.Context, from string, stream *peer.Stream) {
@@ -115,18 +135,15 @@
 		s.cfg.Log.Warn("tunnel request not read", "daemon", from, "err", err)
 		return
 	}
-	s.openGauge.Update(s.open.Add(1))
-	defer func() { s.openGauge.Update(s.open.Add(-1)) }()
-	s.addUser(from, req.instance(), 1)
-	defer s.addUser(from, req.instance(), -1)
 	server, reply := s.connect(ctx, from, &req)
-	if err := stream.SendMessage(reply); err != nil || server == nil {
-		s.refused.Inc(1)
-		s.cfg.Log.Info("tunnel not opened for another daemon", "daemon", from, "server", req.Server,
-			"result", reply.Result.String(), "tunnels", reply.Tunnels, "err", err)
-		if server != nil {
-			server.Close()
-		}
+	if server == nil {
+		s.refuse(from, &req, reply, stream.SendMessage(reply))
+		return
+	}
+	defer s.release(from, req.instance())
+	if err := stream.SendMessage(reply); err != nil {
+		s.refuse(from, &req, reply, err)
+		server.Close()
 		return
 	}
 	s.opened.Inc(1)
@@ -136,6 +153,13 @@
 	carry(stream, server)
 }
 
+// refuse records a request that opened no tunnel.
+func (s *Server) refuse(from string, req *openRequest, reply *openReply, err error) {
+	s.refused.Inc(1)
+	s.cfg.Log.Info("tunnel not opened for another daemon", "daemon", from, "server", req.Server,
+		"result", reply.Result.String(), "tunnels", reply.Tunnels, "err", err)
+}
+
 // receiveRequest reads the request of a stream within requestTimeout.
 func receiveRequest(stream *peer.Stream, req *openRequest) error {
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
@@ -147,28 +171,48 @@
 	return stream.SetReadDeadline(time.Time{})
 }
 
-// connect connects to the server that a request of another daemon names. The connection is nil if that fails.
+// connect connects to the server that a request of another daemon names. The connection is nil if that fails; otherwise it has
+// a place, which the caller must release.
 func (s *Server) connect(ctx context.Context, from string, req *openRequest) (net.Conn, *openReply) {
-	reply := &openReply{Tunnels: int32(s.open.Load()), Isolated: s.cfg.Dialer.IsIsolated()}
+	reply := &openReply{Isolated: s.cfg.Dialer.IsIsolated()}
+	conn := s.dial(ctx, from, req, reply)
+	reply.Tunnels = int32(s.Open())
+	return conn, reply
+}
+
+// dial connects to the server that a request names and sets the result of the reply.
+func (s *Server) dial(ctx context.Context, from string, req *openRequest, reply *openReply) net.Conn {
 	server := s.cfg.Catalog.Lookup(req.instance())
 	switch {
 	case !s.cfg.IsMember(from):
 		reply.Result = unknownDaemon
-		return nil, reply
+		return nil
 	case server == nil:
 		reply.Result = unknownServer
-		return nil, reply
-	case s.leaving.Load() || int(s.open.Load()) > s.cfg.MaxTunnels:
+		return nil
+	case s.leaving.Load() || !s.reserve(from, req.instance()):
 		reply.Result, reply.RetryAfterMs = busy, busyRetryAfter.Milliseconds()
-		return nil, reply
+		return nil
 	}
+	conn := s.dialReserved(ctx, server, reply)
+	if conn == nil {
+		s.release(from, req.instance())
+	}
+	return conn
+}
+
+// dialReserved connects to a server for a tunnel that has a place.
+func (s *Server) dialReserved(ctx context.Context, server *backend.Server, reply *openReply) net.Conn {
 	if wait := s.cfg.HeldOff(server.Instance()); wait > 0 {
 		reply.Result, reply.RetryAfterMs = heldOff, wait.Milliseconds()+1
-		return nil, reply
+		return nil
 	}
 	conn, err := s.cfg.Dialer.DialDirect(ctx, server)
 	reply.Result = resultOf(err)
-	return conn, reply
+	if err != nil {
+		return nil
+	}
+	return conn
 }
 
 // resultOf returns the outcome of connecting to a server.
