Log and count how each answer ended and on what evidence it counts as whole

The record of the incident doesn't say how the streams that ended early were framed at their servers, how their connections ended, or what the daemon took as evidence that they were whole. No log line or metric told any of it.

'request done' and 'answer discarded' now have framing (length, chunks or connection), conn_end and end_evidence, and forward.ends.* counts the answers by that evidence. The decision itself is unchanged.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -132,6 +132,8 @@
 	firstByte       metrics.Histogram
 	// serverEnds counts the attempts during which the server ended.
 	serverEnds metrics.Counter
+	// endCounters count the bodies of responses by the evidence about their end.
+	endCounters map[endEvidence]metrics.Counter
 }
 
 // latencySamples and latencyAlpha configure the exponentially decaying samples
@@ -149,6 +151,7 @@
 		latency:         metrics.GetOrRegisterHistogram("forward.latency_ms", cfg.Metrics, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
 		firstByte:       metrics.GetOrRegisterHistogram("forward.first_ms", cfg.Metrics, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
 		serverEnds:      metrics.GetOrRegisterCounter("forward.server_ends", cfg.Metrics),
+		endCounters:     newEndCounters(cfg.Metrics),
 	}
 	for _, o := range outcomes {
 		f.outcomeCounters[o] = metrics.GetOrRegisterCounter("forward.requests."+string(o), cfg.Metrics)
@@ -234,6 +237,8 @@
 	retryBy time.Time
 	// sentAt is when the request was last sent to a server.
 	sentAt time.Time
+	// end is how the body of the last response ended.
+	end bodyEnd
 	// firstByteAt is when the first bytes of a response body were relayed.
 	firstByteAt time.Time
 	// lastRelayAt is when response bytes were last relayed, and longestGap the
--- a/forward/record.go
+++ b/forward/record.go
@@ -39,7 +39,8 @@
 		"urgency", q.urgency, "backlog_tokens", q.estimate.BacklogTokens, "missing_tokens", q.estimate.UncachedTokens,
 		"running", q.estimate.Running, "memory_tokens", q.estimate.MemoryTokens, "config", int64(version),
 		"servers", q.readyServers, "revision", revision, "age_ms", age.Milliseconds(), "server_limit", q.notice.RateLimit,
-		"version", softwareVersion, "via", q.via, "waited_ms", q.waited.Milliseconds(), "resumes", q.meta.Resumes, "after", q.meta.LastEvent)
+		"version", softwareVersion, "via", q.via, "waited_ms", q.waited.Milliseconds(), "resumes", q.meta.Resumes, "after", q.meta.LastEvent,
+		"framing", q.end.framing, "conn_end", q.end.conn, "end_evidence", q.end.evidence)
 }
 
 // timeToFirstByte returns the time from arrival to the first relayed byte of
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -61,6 +61,7 @@
 func (q *request) relay(ctx context.Context, res attemptResult) (retry bool) {
 	resp := res.response
 	q.attempts++
+	q.beginBody(resp)
 	if isSuccess(resp) && !q.cfg.HeaderCodec.IsAuthentic(resp.Header) {
 		resp.Close()
 		return q.retryOrGiveUp(ctx, res, errUnverified)
@@ -86,6 +87,7 @@
 // returns true for a retry or ends the request.
 func (q *request) retryOrGiveUp(ctx context.Context, res attemptResult, err error) (retry bool) {
 	res.runState, res.response, res.err = mayRun, nil, err
+	q.breakBody(err)
 	result := placement.Failed
 	if ctx.Err() != nil {
 		result = placement.Abandoned
@@ -95,7 +97,8 @@
 	q.observeBreak(ctx, res.inFlight.Server, err)
 	res.inFlight.End(time.Now(), result)
 	q.cfg.Log.Info("answer discarded", "request_id", q.meta.ID, "server", res.inFlight.Server.ID,
-		"version", res.inFlight.Server.Version, "relayed", q.w.Started(), "err", err)
+		"version", res.inFlight.Server.Version, "relayed", q.w.Started(),
+		"framing", q.end.framing, "conn_end", q.end.conn, "end_evidence", q.end.evidence, "err", err)
 	if q.shouldRetry(ctx, res) {
 		return true
 	}
@@ -219,6 +222,7 @@
 	}
 	if err != nil {
 		resp.Close()
+		q.breakBody(err)
 		res.inFlight.End(time.Now(), placement.Failed)
 		q.abort(broken, err.Error())
 		return false
@@ -244,11 +248,17 @@
 // closes its connections as well, so the server has to live on unless it is known to leave.
 func (q *request) checkBodyEnd(res attemptResult) error {
 	server := res.inFlight.Server
-	if res.response.Framing != upstream.UntilClose || !q.cfg.Catalog.Usable(server.Instance()) {
+	switch {
+	case res.response.Framing != upstream.UntilClose:
+		q.endBody(connOpen, endFramed)
 		return nil
-	}
-	if q.cfg.Pool.HasEnded(context.Background(), server) {
+	case !q.cfg.Catalog.Usable(server.Instance()):
+		q.endBody(connClosed, endUnused)
+		return nil
+	case q.cfg.Pool.HasEnded(context.Background(), server):
+		q.endBody(connClosed, endRefused)
 		return errServerEnd
 	}
+	q.endBody(connClosed, endAccepting)
 	return nil
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -162,7 +162,7 @@
 		return errStreamEnd
 	}
 	if res.response.Framing != upstream.UntilClose {
-		return nil
+		return q.checkBodyEnd(res)
 	}
 	resumed := q.stream.relayed.numbering == numbered
 	if len(q.stream.pending) > 0 || q.attemptEvents == 0 && !resumed {
