--- a/forward/choose.go
+++ b/forward/choose.go
@@ -101,7 +101,10 @@
 func (q *request) refuseOverloaded(ctx context.Context, r *placement.Refusal) {
 	q.cfg.Log.Info("request refused, servers are overloaded", "request_id", q.meta.ID, "service", q.service, "priority", q.priority,
 		"reason", r.Reason, "wait_ms", r.Wait.Milliseconds(), "max_wait_ms", r.MaxWait.Milliseconds(), "retry_ms", r.RetryAfter.Milliseconds(),
-		"customer", q.customer, "accepted_share", r.AcceptedShare, "waited_ms", q.waited.Milliseconds())
+		"customer", q.customer, "accepted_share", r.AcceptedShare, "waited_ms", q.waited.Milliseconds(),
+		"route", q.route.Name, "urgency", q.urgency, "target_ms", q.route.Target.Milliseconds(), "tokens_in", q.meta.TokensIn,
+		"server", r.Seen.Chosen, "running", r.Seen.Running, "as_urgent", r.Seen.AtLeastAsUrgent, "memory_tokens", r.Seen.MemoryTokens,
+		"would_accept", r.Seen.WouldAccept)
 	if ctx.Err() != nil {
 		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
 		return
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -66,6 +66,42 @@
 	AcceptedShare float64
 	// RetryAfter is the delay after which the request is likely to be accepted.
 	RetryAfter time.Duration
+	// Seen is what was known of the servers, for logs.
+	Seen ServersSeen
+}
+
+// ServersSeen is what was known of the servers when a request was refused.
+type ServersSeen struct {
+	// Chosen is the ID of the chosen server; empty if none was chosen.
+	Chosen string
+	// Running and AtLeastAsUrgent count the requests at the chosen server, or at all if none was chosen.
+	Running, AtLeastAsUrgent int
+	// MemoryTokens is the memory that the requests at the chosen server need, in tokens.
+	MemoryTokens int
+	// WouldAccept is the number of servers that would have accepted the request by their backlog and memory.
+	WouldAccept int
+}
+
+// seenAll returns what is known of all servers.
+func seenAll(candidates []Candidate, req *Request) ServersSeen {
+	var seen ServersSeen
+	for i := range candidates {
+		c := &candidates[i]
+		seen.Running += int(c.Running)
+		seen.AtLeastAsUrgent += int(c.AtLeastAsUrgent)
+		if !c.Suspended && c.accepts(req) {
+			seen.WouldAccept++
+		}
+	}
+	return seen
+}
+
+// seenChosen returns what is known of the chosen server.
+func seenChosen(chosen *Candidate, candidates []Candidate, req *Request) ServersSeen {
+	return ServersSeen{
+		Chosen: chosen.Server.ID, Running: int(chosen.Running), AtLeastAsUrgent: int(chosen.AtLeastAsUrgent),
+		MemoryTokens: int(chosen.MemoryUsed), WouldAccept: seenAll(candidates, req).WouldAccept,
+	}
 }
 
 // MaxWait returns the longest time that a request waits for the prompts ahead
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -109,7 +109,8 @@
 func (t *Tracker) Place(now time.Time, servers []*backend.Server, req Request) (*InFlight, *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := t.candidates(now, servers, req)
+	all := t.candidates(now, servers, req)
+	candidates := all
 	jitter := Jitter{Each: minJitterTokens}
 	if len(req.Prompt) > 0 {
 		contenders := 1
@@ -121,6 +122,7 @@
 			jitter.ByPart = unseenSpread * t.unseenTokens(now, len(servers), req.Urgency)
 		}
 		if refusal := admitBySlots(t.acceptedShare(now, candidates, &req), &req, t.rnd); refusal != nil {
+			refusal.Seen = seenAll(candidates, &req)
 			return nil, refusal
 		}
 		candidates = sample(withRoom(candidates, &req, scarce), req, sampleShare(contenders, meantFor(candidates, &req)), t.rnd)
@@ -130,6 +132,7 @@
 		return nil, nil
 	}
 	if refusal := admit(&candidates[i], &req, t.rnd); refusal != nil {
+		refusal.Seen = seenChosen(&candidates[i], all, &req)
 		return nil, refusal
 	}
 	return t.trackRequest(now, req, &candidates[i]), nil
