Decide usage windows only with the counts of their last slot

The usage was lost, not late. Cause: the end of a window lies inside a slot of 10 ms, which the window includes by its start. The leader held a daemon's counts for complete once the middle of its next slot was past the end, which may be the middle of that very slot: its counts came with the next message, after the window had been decided. Likewise, a faster message that shows a sender's clock to be further ahead moved counts back into windows that had been decided. Change: a source's counts are known up to a slot of the leader, which never moves back; a window is complete when that slot begins at or after its end, and later counts never go before it.

--- a/metering/collector.go
+++ b/metering/collector.go
@@ -27,6 +27,8 @@
 	ahead time.Duration
 	// first is the first slot of the source whose counts the leader has, next the one after the last.
 	first, next int64
+	// known is the leader's slot before which all counts of the source are there.
+	known int64
 	// wallAhead is by how much the source's wall clock is ahead of the leader's clock of slots.
 	wallAhead time.Duration
 	heardAt   time.Duration
@@ -56,9 +58,10 @@
 		if slot < s.next || int(e.Customer) >= len(m.Customers) {
 			continue
 		}
-		c.addCount(slotOf(s.toLeader(slot)), m.Customers[e.Customer], int64(e.N))
+		c.addCount(max(s.known, slotOf(s.toLeader(slot))), m.Customers[e.Customer], int64(e.N))
 	}
 	s.next = max(s.next, m.To)
+	s.known = max(s.known, slotOf(s.toLeader(s.next)))
 	return s.next
 }
 
@@ -108,7 +111,7 @@
 func (c *collector) missing(daemons []string, to time.Duration) []string {
 	known := map[string]bool{}
 	for id, s := range c.sources {
-		if s.toLeader(s.next) >= to {
+		if time.Duration(s.known)*slotLength >= to {
 			known[id.daemon] = true
 		}
 	}
