Tell which process of a server is newer by the store's revisions

Cause: of two records of an ID, the one with the lower start counted as older, whatever their revisions. All records of the new process were ignored. Change: within an epoch of the store the revision tells which process is newer; its start only tells processes apart. A store that came back from an older copy has later revisions for older records, so a record of a later epoch with an earlier start is kept aside then: it counts once it is written again, or if it is still there after six seconds, when leases of servers that are gone have run out. Until then no record of the known process is taken for a renewal.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/jacinththread/jacinththread/store"
 )
 
 // expiryGrace is how long after an outage of the store a server whose record has
@@ -17,6 +19,10 @@
 // live servers write them again within about two seconds.
 const expiryGrace = 2 * time.Second
 
+// restoredGrace is how long a store that came back from an older copy may have records of servers
+// that are gone: longer than their leases.
+const restoredGrace = 6 * time.Second
+
 // Freshness tells how current the known records are.
 type Freshness struct {
 	// AsOf is the time as of which the records are known.
@@ -29,6 +35,10 @@
 // an outage.
 func (f Freshness) mayLackLive() bool { return f.AsOf.Before(f.OutageEnd.Add(expiryGrace)) }
 
+// mayHaveGone reports whether there may still be records of servers that are gone, if the store came back from an
+// older copy.
+func (f Freshness) mayHaveGone() bool { return f.AsOf.Before(f.OutageEnd.Add(restoredGrace)) }
+
 // Server is a backend server as described by its record in the store. It is
 // immutable.
 type Server struct {
@@ -79,7 +89,9 @@
 	servers map[string]*Server
 	// expired holds the IDs of servers whose records disappeared in an outage of
 	// the store or within expiryGrace afterwards.
-	expired  map[string]bool
+	expired map[string]bool
+	// restored holds records of other processes, by ID, that the store had when it came back from an older copy.
+	restored map[string]*Server
 	versions versionHistory
 	// leaving holds the processes that said that they are about to stop, and since when.
 	leaving map[Instance]time.Time
@@ -93,7 +105,7 @@
 
 // NewCatalog returns an empty catalog.
 func NewCatalog(logger *log.Logger) *Catalog {
-	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}, leaving: map[Instance]time.Time{}, versions: versionHistory{lastSeen: map[serviceVersion]time.Time{}}}
+	c := &Catalog{log: logger, servers: map[string]*Server{}, expired: map[string]bool{}, restored: map[string]*Server{}, leaving: map[Instance]time.Time{}, versions: versionHistory{lastSeen: map[serviceVersion]time.Time{}}}
 	c.publish()
 	return c
 }
@@ -163,7 +175,7 @@
 	for _, ch := range changes {
 		switch {
 		case ch.Server != nil:
-			changed = c.put(ch.Server) || changed
+			changed = c.put(ch.Server, f) || changed
 		case ch.Invalid:
 			changed = c.drop(ch.ID, ch.Revision) || changed
 		default:
@@ -188,8 +200,14 @@
 // put stores a record and reports whether anything but its revision changed. In
 // a large deployment most records are heartbeats, which change nothing else and
 // must not cause a new snapshot.
-func (c *Catalog) put(s *Server) bool {
+func (c *Catalog) put(s *Server, f Freshness) bool {
 	old := c.servers[s.ID]
+	if old != nil && s.mayBeRestored(old) && f.mayHaveGone() && !s.renews(c.restored[s.ID]) {
+		c.restored[s.ID] = s
+		c.log.Info("restored record of a backend server ignored for now", "server", s.ID, "started", s.Started,
+			"known", old.Started, "revision", s.Revision)
+		return false
+	}
 	if old != nil && s.olderThan(old) {
 		c.log.Info("older record of a backend server ignored", "server", s.ID, "sequence", s.Sequence, "known", old.Sequence,
 			"started", s.Started, "revision", s.Revision)
@@ -201,6 +219,7 @@
 		return c.drop(s.ID, s.Revision)
 	}
 	delete(c.expired, s.ID)
+	delete(c.restored, s.ID)
 	if old != nil && old.sameAs(s) {
 		return false
 	}
@@ -213,12 +232,12 @@
 }
 
 // Has reports whether the catalog holds an equal record of the server, ignoring
-// the revision, and the record has not expired from the store.
+// the revision, and the store has no other record or none.
 func (c *Catalog) Has(s *Server) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.servers[s.ID]
-	return old != nil && !c.expired[s.ID] && old.sameAs(s)
+	return old != nil && !c.expired[s.ID] && c.restored[s.ID] == nil && old.sameAs(s)
 }
 
 // sameAs reports whether two records are equal except for the revision and the sequence.
@@ -229,18 +248,33 @@
 	return a == b
 }
 
-// olderThan reports whether a server wrote the record before another one of its ID. The store's
-// revisions don't tell after it came back from an older copy.
+// olderThan reports whether the record was written before another one of its ID. Which one of two processes came later the
+// store's revisions tell, since a server's clock may jump back. One process may write its records out of order.
 func (s *Server) olderThan(other *Server) bool {
-	if s.Started == 0 || other.Started == 0 {
+	switch {
+	case s.Started == 0 || other.Started == 0:
 		return false
-	}
-	if s.Started != other.Started {
+	case s.Started == other.Started:
+		return s.Sequence != 0 && s.Sequence < other.Sequence
+	case s.Revision == other.Revision:
 		return s.Started < other.Started
 	}
-	return s.Sequence != 0 && s.Sequence < other.Sequence
+	return s.Revision < other.Revision
+}
+
+// mayBeRestored reports whether the record may be of an earlier process than another one of its ID, although its revision is
+// later: it is of a later epoch of the store, which may have come back from a copy that was older than the other record.
+func (s *Server) mayBeRestored(other *Server) bool {
+	return s.Started != 0 && s.Started < other.Started && s.epoch() > other.epoch()
+}
+
+// renews reports whether the process of an earlier record, which may be nil, has written this one since.
+func (s *Server) renews(earlier *Server) bool {
+	return earlier != nil && s.Started == earlier.Started && s.epoch() == earlier.epoch() && s.Revision > earlier.Revision
 }
 
+func (s *Server) epoch() uint64 { return store.Revision(s.Revision).Epoch() }
+
 // contradicts reports whether the record can't be of the server that wrote an earlier one: a process serves one service
 // only, and one that says when it started always does.
 func (s *Server) contradicts(earlier *Server) bool {
@@ -271,24 +305,33 @@
 	}
 	delete(c.servers, id)
 	delete(c.expired, id)
+	delete(c.restored, id)
 	c.log.Info("backend server gone", "server", id, "revision", revision)
 	return true
 }
 
 // RemoveExpired removes the expired servers whose records are known to be missing
-// still after the grace period. It must be called periodically.
+// still after the grace period, and replaces those of which the store still has another
+// process. It must be called periodically.
 func (c *Catalog) RemoveExpired(f Freshness) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forgetLeaving(f.AsOf)
-	if len(c.expired) == 0 || f.mayLackLive() {
-		return
+	changed := false
+	if !f.mayLackLive() {
+		for id := range c.expired {
+			changed = c.drop(id, 0) || changed
+		}
 	}
-	for id := range c.expired {
-		c.drop(id, 0)
+	if !f.mayHaveGone() {
+		for _, s := range c.restored {
+			changed = c.put(s, f) || changed
+		}
+	}
+	if changed {
+		c.publish()
+		c.versions.update(c.servers, f.AsOf)
 	}
-	c.publish()
-	c.versions.update(c.servers, f.AsOf)
 }
 
 // publish replaces the snapshot that readers use. The caller must hold c.mu.
