Don't count a part of an early response as a complete one

Cause: the goroutine that writes a long upload gets the error of a reset, and the reader then sees a plain end of the connection. A body without a length that ended so counted as complete. A daemon that carries a tunnel lost the reset in the same way and sent an orderly end frame. Evidence: a server that answers 200 without a length to an 8 MB upload and resets or closes. Change: such a body is complete only if the request was written without error and the socket is in CLOSE_WAIT with all sent bytes acknowledged. The carrying daemon checks the same, and that nothing of the upload is left, before it sends the end frame. Counters upstream.ends_unwritten, upstream.ends_reset and tunnel.ends_broken and a log line tell these cases apart.

--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -34,6 +34,10 @@
 	return c.frames.left == 0 && !c.frames.ended && c.Buffered() == 0 && upstream.IsQuiet(c.Stream.Conn)
 }
 
+// End returns how the other daemon has ended the connection, for upstream.EndOf. It ends it in order only if the server
+// has done so.
+func (c *conn) End() upstream.End { return upstream.EndOf(c.Stream.Conn) }
+
 // reset closes a connection so that the other end sees an error and not the end of a stream.
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -23,8 +22,6 @@
 	requestTimeout = time.Second
 	// busyRetryAfter is how long a daemon that carries too many tunnels isn't asked for another.
 	busyRetryAfter = 500 * time.Millisecond
-	// copyBufferBytes is the size of the buffer for bytes to the server.
-	copyBufferBytes = 8 << 10
 )
 
 // Dialer opens direct connections to servers.
@@ -55,7 +52,9 @@
 	leaving atomic.Bool
 
 	opened, refused metrics.Counter
-	openGauge       metrics.Gauge
+	// brokenEnds counts the connections that a server ended before it had received all that was sent to it.
+	brokenEnds metrics.Counter
+	openGauge  metrics.Gauge
 
 	mu sync.Mutex
 	// open is the number of tunnels that are open or being opened; at most MaxTunnels.
@@ -110,11 +109,12 @@
 // NewServer returns a Server and registers its metrics.
 func NewServer(cfg ServerConfig) *Server {
 	return &Server{
-		cfg:       cfg,
-		users:     map[userKey]int{},
-		opened:    metrics.GetOrRegisterCounter("tunnel.carried", cfg.Metrics),
-		refused:   metrics.GetOrRegisterCounter("tunnel.refused", cfg.Metrics),
-		openGauge: metrics.GetOrRegisterGauge("tunnel.carrying", cfg.Metrics),
+		cfg:        cfg,
+		users:      map[userKey]int{},
+		opened:     metrics.GetOrRegisterCounter("tunnel.carried", cfg.Metrics),
+		refused:    metrics.GetOrRegisterCounter("tunnel.refused", cfg.Metrics),
+		openGauge:  metrics.GetOrRegisterGauge("tunnel.carrying", cfg.Metrics),
+		brokenEnds: metrics.GetOrRegisterCounter("tunnel.ends_broken", cfg.Metrics),
 	}
 }
 
@@ -150,7 +150,10 @@
 	if err := upstream.DetectDeadPeer(stream.Conn); err != nil {
 		s.cfg.Log.Warn("setting options of a tunnel's connection failed", "daemon", from, "err", err)
 	}
-	carry(stream, server)
+	if err := carry(stream, server); errors.Is(err, errBrokenEnd) {
+		s.brokenEnds.Inc(1)
+		s.cfg.Log.Info("end of a tunnel's connection is not orderly", "daemon", from, "server", req.Server, "err", err)
+	}
 }
 
 // refuse records a request that opened no tunnel.
@@ -226,21 +229,3 @@
 		return unreachable
 	}
 }
-
-// carry copies bytes both ways until one side ends. A server that is no longer asked learns it at once, and
-// a connection to the server that breaks is broken towards the other daemon as well.
-func carry(stream *peer.Stream, server net.Conn) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		// Hides the methods by which io.CopyBuffer would bypass the buffer.
-		io.CopyBuffer(struct{ io.Writer }{server}, struct{ io.Reader }{stream}, make([]byte, copyBufferBytes))
-		server.Close()
-	}()
-	if err := copyFrames(stream.Conn, server); err != nil {
-		reset(stream.Conn)
-	}
-	stream.Close()
-	server.Close()
-	<-done
-}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -70,6 +70,8 @@
 	unattributed map[string]bool
 
 	dials, dialFailures, reuses, strayResponses, unattributedResponses, endChecks metrics.Counter
+	// unwrittenEnds and resetEnds count bodies that ended with their connection and aren't complete.
+	unwrittenEnds, resetEnds metrics.Counter
 }
 
 // Config configures a Pool.
@@ -108,6 +110,8 @@
 		strayResponses:        metrics.GetOrRegisterCounter("upstream.stray_answers", registry),
 		unattributedResponses: metrics.GetOrRegisterCounter("upstream.unattributed_answers", registry),
 		endChecks:             metrics.GetOrRegisterCounter("upstream.end_checks", registry),
+		unwrittenEnds:         metrics.GetOrRegisterCounter("upstream.ends_unwritten", registry),
+		resetEnds:             metrics.GetOrRegisterCounter("upstream.ends_reset", registry),
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -109,6 +109,8 @@
 	// returns false if the context has already ended.
 	stopCancel func() bool
 	ended      bool
+	// held closes the connection of a body that has ended with it.
+	held *time.Timer
 }
 
 // Do sends a request on a connection and returns the head of the response. The
@@ -338,7 +340,8 @@
 	}
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body. A body that ends with its connection counts
+// as complete if the request was written before and the connection wasn't reset.
 func (resp *Response) Read(p []byte) (int, error) {
 	if len(resp.first) > 0 {
 		n := copy(p, resp.first)
@@ -349,25 +352,36 @@
 	if n > 0 && resp.conn.Via == "" {
 		resp.conn.pool.connector.Received()
 	}
-	if err == io.EOF {
-		resp.finish()
+	if err == io.EOF && !resp.ended {
+		err = resp.finish()
 	}
 	return n, err
 }
 
-// finish returns the connection to the pool after a complete response.
-func (resp *Response) finish() {
-	if resp.ended {
-		return
+// finish ends the exchange after the last byte of the body. It returns io.EOF if the body is complete. The connection
+// is then returned to the pool, unless the body has ended with it.
+func (resp *Response) finish() error {
+	if resp.Framing == UntilClose {
+		if err := resp.conn.checkEnd(); err != nil {
+			return err
+		}
+		resp.ended = true
+		resp.stopCancel()
+		resp.hold()
+		return io.EOF
 	}
 	resp.ended = true
-	reusable := resp.stopCancel() && resp.Framing != UntilClose && !resp.conn.closeAfterResponse
+	reusable := resp.stopCancel() && !resp.conn.closeAfterResponse
 	resp.conn.pool.put(resp.conn, reusable)
+	return io.EOF
 }
 
 // Close ends the exchange. If the body was not read to the end, it closes the
 // connection, which cancels the request at the server.
 func (resp *Response) Close() {
+	if resp.held != nil && resp.held.Stop() {
+		resp.conn.pool.discard(resp.conn)
+	}
 	if resp.ended {
 		return
 	}
