Count an answer that ends with its connection as whole only if its server lived on

Callers got a part of an answer as the whole one, and streams that ended as complete before their last event, when the server sent neither a length nor chunks.

Cause: the end of the connection was taken for the end of the body unless the server's address refused connections at that moment and the catalog still offered the server. Whatever wasn't known counted as whole: a server that drains and ends or whose record is gone, one that closes its connections 5 ms before its address, another process or the same ID started again at the address, a path that is silent or resets, and a daemon that was frozen.

Change: 250 ms after such an end the daemon asks the server, over the same path, for evidence that the process lived on. A response on a connection opened before the end is evidence, because that connection ends with the process and with the path. So is a response that names the process, by the start time that its record has, or by its ID where servers don't start again under their IDs. Anything else isn't, and neither is it if the other connection ended at about the same time.

Cost: such an answer ends 250 ms and a round trip later, and takes a request and one more connection to its server, which answers share.

Tests that changed: fake servers answer the new question and, when their listener is closed, close their connections too, as a process that ends does; they stayed open, and so would have shown that the process lives. Fakes implement the new methods of their interfaces. The log test expects the new evidence.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -104,6 +104,7 @@
 		return q.endFailedAttempt(ctx, inFlight, err)
 	}
 	q.via = conn.Via
+	q.cfg.Pool.PrepareEnd(ctx, inFlight.Server, conn)
 	remaining := time.Until(q.deadline)
 	if err := q.mayNotSend(inFlight.Server.Instance(), remaining); err != nil {
 		q.cfg.Pool.Release(conn)
--- a/forward/ends.go
+++ b/forward/ends.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 	"syscall"
 
 	"github.com/rcrowley/go-metrics"
@@ -17,16 +20,16 @@
 const (
 	// endFramed: the body has all bytes of its length, or its last chunk.
 	endFramed endEvidence = "framing"
-	// endUnused: it ended with its connection and the catalog doesn't offer the server any more. It counts as whole.
-	endUnused endEvidence = "catalog"
-	// endAccepting: it ended with its connection and the server's address doesn't refuse others. It counts as whole.
-	endAccepting endEvidence = "address"
-	// endRefused: it ended with its connection and the server's address refuses others. It isn't whole.
-	endRefused endEvidence = "refused"
+	// endConnection: it ended with its connection, and its process responded afterwards on an earlier connection.
+	endConnection endEvidence = "connection"
+	// endIdentity: it ended with its connection, and its process responded afterwards and said which it is.
+	endIdentity endEvidence = "identity"
+	// endNone: it ended with its connection, and nothing shows that its process lived on. It isn't whole.
+	endNone endEvidence = "none"
 )
 
 // endEvidences lists all evidence, each of which has a counter.
-var endEvidences = []endEvidence{endFramed, endUnused, endAccepting, endRefused}
+var endEvidences = []endEvidence{endFramed, endConnection, endIdentity, endNone}
 
 // connEnd is how the connection to a server was at the end of a body.
 type connEnd string
@@ -57,9 +60,41 @@
 	return counters
 }
 
-// beginBody records that a response arrives.
-func (q *request) beginBody(resp *upstream.Response) {
-	q.end = bodyEnd{framing: framingName(resp.Framing)}
+// beginBody records that a response arrives. If its body ends with its connection, evidence will be needed that its server
+// lived on.
+func (q *request) beginBody(ctx context.Context, res attemptResult) {
+	q.end = bodyEnd{framing: framingName(res.response.Framing)}
+	if q.endsWithConnection(res.response) {
+		q.cfg.Pool.WatchEnd(ctx, res.response, res.inFlight.Server)
+	}
+}
+
+// endsWithConnection reports whether a response has a body that ends with its connection.
+func (q *request) endsWithConnection(resp *upstream.Response) bool {
+	return resp.Framing == upstream.UntilClose && q.in.Method != http.MethodHead
+}
+
+// checkBodyEnd returns an error if a body that was read to its end may have been broken off. The end of a process closes
+// connections as the end of a body does, so a body that ends with its connection is whole only if its process is known to
+// have lived on.
+func (q *request) checkBodyEnd(ctx context.Context, res attemptResult) error {
+	if !q.endsWithConnection(res.response) {
+		q.endBody(connOpen, endFramed)
+		return nil
+	}
+	server := res.inFlight.Server
+	probe := q.cfg.HeaderCodec.Probe(server, q.table.Service(q.service))
+	liveness, err := q.cfg.Pool.LivedOn(ctx, res.response, server, probe)
+	switch liveness {
+	case upstream.ByConnection:
+		q.endBody(connClosed, endConnection)
+	case upstream.ByIdentity:
+		q.endBody(connClosed, endIdentity)
+	default:
+		q.endBody(connClosed, endNone)
+		return fmt.Errorf("%w (%v)", errServerEnd, err)
+	}
+	return nil
 }
 
 // endBody records that the end of a body was reached, and what tells whether it is whole.
--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -47,7 +47,7 @@
 	for framing, c := range map[string]struct{ answer, end string }{
 		"length":     {"Content-Length: 2\r\n\r\nab", "conn_end=open end_evidence=framing"},
 		"chunks":     {"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", "conn_end=open end_evidence=framing"},
-		"connection": {"\r\nab", "conn_end=closed end_evidence=address"},
+		"connection": {"\r\nab", "conn_end=closed end_evidence=identity"},
 	} {
 		var lines lockedBuffer
 		d := newDeployment(t, onceRoute)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -89,6 +89,9 @@
 	IsAuthentic(h http.Header) bool
 	// Notice returns what a server says of itself in the head of a response.
 	Notice(status int, h http.Header) backend.Notice
+	// Probe returns the request by which a server shows that it lives and which process it is. The service is nil if
+	// the configuration doesn't hold it.
+	Probe(s *backend.Server, service *route.Service) upstream.Probe
 	// SetRequestID sets the request ID on a response that the router itself
 	// generates.
 	SetRequestID(h http.Header, id string)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,31 @@
 	return n
 }
 
+// probePath is the path at which the fake servers say which process they are.
+const probePath = "/alive"
+
+func (testHeaderCodec) Probe(s *backend.Server, _ *route.Service) upstream.Probe {
+	return upstream.Probe{
+		Target: probePath, Host: s.Addr, Header: http.Header{"Server": {s.ID}},
+		Attribute: func(h http.Header) upstream.Attribution {
+			if h.Get("Id") != "" {
+				return upstream.Foreign
+			}
+			return upstream.Own
+		},
+		Identify: func(status int, h http.Header, _ []byte) upstream.Identity {
+			started := strconv.FormatInt(s.Started, 10)
+			switch {
+			case h.Get("Server-Id") == "" || h.Get("Started") == "":
+				return upstream.Unidentified
+			case h.Get("Server-Id") == s.ID && h.Get("Started") == started:
+				return upstream.SameProcess
+			}
+			return upstream.OtherProcess
+		},
+	}
+}
+
 func (testHeaderCodec) SetRequestID(h http.Header, id string) { h.Set("Id", id) }
 
 // run is a request that a server started to process.
@@ -119,6 +145,8 @@
 	tracer  trace.Tracer
 	log     *log.Logger
 	origins knownOrigins
+	// dialNow replaces dial while requests run, for tests that set it.
+	dialNow atomic.Pointer[func(context.Context, string) (net.Conn, error)]
 	// dial opens direct connections to servers, tunnels those through other daemons.
 	dial    reach.DialFunc
 	tunnels reach.Tunnels
@@ -192,6 +220,10 @@
 	return nil, "", tunnel.ErrNoDaemon
 }
 
+func (noTunnels) OpenThrough(context.Context, string, backend.Instance) (net.Conn, error) {
+	return nil, tunnel.ErrNoDaemon
+}
+
 func (noTunnels) Usable(string) bool { return false }
 
 func (noTunnels) HasOthers() bool { return false }
@@ -243,20 +275,30 @@
 	return backend.Server{ID: id, Service: "s", Version: "v1", Addr: l.Addr().String()}
 }
 
-// addServerAt serves the requests of a listener with f.
+// addServerAt serves the requests of a listener with f. When the listener is closed, the server ends as a process does, with
+// all its connections.
 func (d *deployment) addServerAt(id string, l net.Listener, f serverBehavior) {
 	d.put(testServer(id, l))
 	go func() {
+		var conns []net.Conn
 		for {
 			c, err := l.Accept()
 			if err != nil {
+				closeAll(conns)
 				return
 			}
+			conns = append(conns, c)
 			go d.serveConn(id, c, f)
 		}
 	}()
 }
 
+func closeAll(conns []net.Conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
 func (d *deployment) serveConn(id string, c net.Conn, f serverBehavior) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -268,6 +310,10 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		if req.URL.Path == probePath {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nServer-Id: %s\r\nStarted: 0\r\nContent-Length: 0\r\n\r\n", id)
+			continue
+		}
 		wait, _ := strconv.Atoi(req.Header.Get("Wait"))
 		urgency, _ := strconv.Atoi(req.Header.Get("Urgency"))
 		d.mu.Lock()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -53,7 +53,7 @@
 	errUnverified   = errors.New("server's success lacks its signature or its own bytes")
 	errServerFailed = errors.New("server failed the request")
 	errBodyTooLong  = errors.New("body without a stated length is too long")
-	errServerEnd    = fmt.Errorf("server ended with its connection: %w", io.ErrUnexpectedEOF)
+	errServerEnd    = fmt.Errorf("server isn't known to have lived on after its connection ended: %w", io.ErrUnexpectedEOF)
 )
 
 // relay relays the response of an attempt to the caller. It returns true if the
@@ -61,7 +61,7 @@
 func (q *request) relay(ctx context.Context, res attemptResult) (retry bool) {
 	resp := res.response
 	q.attempts++
-	q.beginBody(resp)
+	q.beginBody(ctx, res)
 	if isSuccess(resp) && !q.cfg.HeaderCodec.IsAuthentic(resp.Header) {
 		resp.Close()
 		return q.retryOrGiveUp(ctx, res, errUnverified)
@@ -120,12 +120,12 @@
 		return q.retryOrGiveUp(ctx, res, fmt.Errorf("%w: status %d without saying that it did not run the request", errServerFailed, resp.Status))
 	}
 	if resp.Framing == upstream.Sized && resp.Length > maxBufferedBytes {
-		return q.relayUnbuffered(res, nil)
+		return q.relayUnbuffered(ctx, res, nil)
 	}
 	var body bytes.Buffer
 	_, err := io.Copy(&body, io.LimitReader(resp, maxBufferedBytes+1))
 	if err == nil && body.Len() <= maxBufferedBytes {
-		err = q.checkBodyEnd(res)
+		err = q.checkBodyEnd(ctx, res)
 	}
 	if err != nil {
 		resp.Close()
@@ -136,7 +136,7 @@
 		return q.retryOrGiveUp(ctx, res, errBodyTooLong)
 	}
 	if body.Len() > maxBufferedBytes {
-		return q.relayUnbuffered(res, body.Bytes())
+		return q.relayUnbuffered(ctx, res, body.Bytes())
 	}
 	if resp.Status >= http.StatusInternalServerError && q.canRetry(ctx) {
 		return q.retryOrRelayError(ctx, res, body.Bytes())
@@ -203,7 +203,7 @@
 
 // relayUnbuffered relays the bytes read so far and then the rest of the body as
 // it arrives.
-func (q *request) relayUnbuffered(res attemptResult, first []byte) (retry bool) {
+func (q *request) relayUnbuffered(ctx context.Context, res attemptResult, first []byte) (retry bool) {
 	resp := res.response
 	q.w.WriteHead(resp.Status, withoutHopByHop(resp.Header), framingOf(resp), resp.Length)
 	body := io.MultiReader(bytes.NewReader(first), resp)
@@ -215,7 +215,7 @@
 		err = errBodyTooLong
 	}
 	if err == nil {
-		err = q.checkBodyEnd(res)
+		err = q.checkBodyEnd(ctx, res)
 	}
 	if err == nil {
 		err = q.w.End()
@@ -243,22 +243,3 @@
 	}
 	return ingress.Chunked
 }
-
-// checkBodyEnd returns an error if a body that ends with its connection may have been broken off. The end of a process
-// closes its connections as well, so the server has to live on unless it is known to leave.
-func (q *request) checkBodyEnd(res attemptResult) error {
-	server := res.inFlight.Server
-	switch {
-	case res.response.Framing != upstream.UntilClose:
-		q.endBody(connOpen, endFramed)
-		return nil
-	case !q.cfg.Catalog.Usable(server.Instance()):
-		q.endBody(connClosed, endUnused)
-		return nil
-	case q.cfg.Pool.HasEnded(context.Background(), server):
-		q.endBody(connClosed, endRefused)
-		return errServerEnd
-	}
-	q.endBody(connClosed, endAccepting)
-	return nil
-}
--- a/forward/spoiled_test.go
+++ b/forward/spoiled_test.go
@@ -154,6 +154,11 @@
 	return nil, "", errors.New("no such server")
 }
 
+func (t directTunnels) OpenThrough(ctx context.Context, _ string, server backend.Instance) (net.Conn, error) {
+	c, _, err := t.Open(ctx, server)
+	return c, err
+}
+
 func (directTunnels) Usable(string) bool { return true }
 
 func (directTunnels) HasOthers() bool { return true }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -96,7 +96,7 @@
 			}
 		}
 		if err == io.EOF {
-			if err := q.checkStreamEnd(res); err != nil {
+			if err := q.checkStreamEnd(ctx, res); err != nil {
 				return err
 			}
 			return q.endStream(res)
@@ -157,18 +157,18 @@
 
 // checkStreamEnd returns an error if a stream has been broken off: if it is numbered and ends inside an event, or if it
 // ends with its connection and the server may not have ended it.
-func (q *request) checkStreamEnd(res attemptResult) error {
+func (q *request) checkStreamEnd(ctx context.Context, res attemptResult) error {
 	if q.stream.relayed.numbering == numbered && len(bytes.TrimSpace(q.stream.pending)) > 0 {
 		return errStreamEnd
 	}
 	if res.response.Framing != upstream.UntilClose {
-		return q.checkBodyEnd(res)
+		return q.checkBodyEnd(ctx, res)
 	}
 	resumed := q.stream.relayed.numbering == numbered
 	if len(q.stream.pending) > 0 || q.attemptEvents == 0 && !resumed {
 		return errStreamEnd
 	}
-	return q.checkBodyEnd(res)
+	return q.checkBodyEnd(ctx, res)
 }
 
 // endStream relays the bytes after the last complete event and ends the
--- a/reach/connector.go
+++ b/reach/connector.go
@@ -38,6 +38,8 @@
 // Tunnels opens connections to servers through other daemons.
 type Tunnels interface {
 	Open(ctx context.Context, server backend.Instance) (conn net.Conn, daemon string, err error)
+	// OpenThrough opens a connection through a given daemon.
+	OpenThrough(ctx context.Context, daemon string, server backend.Instance) (net.Conn, error)
 	// Usable reports whether idle tunnels through a daemon may still be used.
 	Usable(daemon string) bool
 	HasOthers() bool
@@ -81,6 +83,16 @@
 	return c.direct(ctx, s, lostDialTimeout)
 }
 
+// ConnectSame implements upstream.Connector. It tells nothing about other paths, so the Table isn't told.
+func (c *Connector) ConnectSame(ctx context.Context, s *backend.Server, via string) (upstream.Link, error) {
+	if via == "" {
+		conn, err := c.dial(ctx, s.Addr)
+		return upstream.Link{Conn: conn}, err
+	}
+	conn, err := c.tunnels.OpenThrough(ctx, via, s.Instance())
+	return upstream.Link{Conn: conn, Via: via}, err
+}
+
 // attempt is the result of opening a connection.
 type attempt struct {
 	link upstream.Link
--- a/reach/connector_test.go
+++ b/reach/connector_test.go
@@ -25,6 +25,11 @@
 	return a, "daemon", nil
 }
 
+func (s slowTunnels) OpenThrough(ctx context.Context, _ string, server backend.Instance) (net.Conn, error) {
+	c, _, err := s.Open(ctx, server)
+	return c, err
+}
+
 func (slowTunnels) Usable(string) bool { return true }
 
 func (slowTunnels) HasOthers() bool { return true }
--- a/route/config.go
+++ b/route/config.go
@@ -84,6 +84,8 @@
 	// MaxConns is the number of connections that each server accepts from all
 	// daemons together.
 	MaxConns int
+	// HealthPath is the URL path of the servers' health checks; empty if it isn't known.
+	HealthPath string
 	// Engine is nil for services that do not run a language model.
 	Engine *Engine
 	// Scaling is nil if servers of the service can't be ordered.
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -144,6 +144,11 @@
 	return newConn(stream, func() { c.closed(daemon) }), nil
 }
 
+// OpenThrough opens a connection to a server through a given daemon.
+func (c *Client) OpenThrough(ctx context.Context, daemon string, server backend.Instance) (net.Conn, error) {
+	return c.openThrough(ctx, daemon, server)
+}
+
 func (c *Client) closed(daemon string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -149,6 +149,21 @@
 	assert.Assert(t, bytes.Equal(got, sent))
 }
 
+func TestTunnelLeadsThroughTheGivenDaemon(t *testing.T) {
+	f := newFleet(t, echo)
+	a := f.start("a", 10, tcpDialer{}, testKey)
+	b := f.start("b", 10, tcpDialer{}, testKey)
+	f.start("c", 10, tcpDialer{isolated: true}, testKey)
+	for range 3 {
+		c, err := a.client.OpenThrough(t.Context(), "b", f.server.Instance())
+		assert.NilError(t, err)
+		defer c.Close()
+	}
+	assert.Equal(t, b.carrier.Open(), 3)
+	_, err := a.client.OpenThrough(t.Context(), "c", f.server.Instance())
+	assert.Assert(t, err != nil)
+}
+
 // It guards against a broken response without a length that looks complete.
 func TestOnlyTheServersOwnEndIsTheEndOfATunnel(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/upstream/connector.go
+++ b/upstream/connector.go
@@ -30,6 +30,8 @@
 	Paths(server backend.Instance, repeatable bool) Paths
 	// Connect opens a connection to a server.
 	Connect(ctx context.Context, s *backend.Server, p Paths) (Link, error)
+	// ConnectSame opens a connection to a server over a given path: directly if via is empty, or through that daemon.
+	ConnectSame(ctx context.Context, s *backend.Server, via string) (Link, error)
 	// Usable reports whether idle connections through a daemon may still be used.
 	Usable(daemon string) bool
 	// Heard is called when the head of a response of a server arrived on a direct connection.
--- /dev/null
+++ b/upstream/liveness.go
@@ -0,0 +1,171 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jacinththread/jacinththread/backend"
+)
+
+const (
+	// settleTime is how long after the end of a body its server is asked whether it lives. A process that ends may close its
+	// connections one after the other.
+	settleTime = 250 * time.Millisecond
+	// minSettleTime is how long after the end of a body a question must have been sent that was sent for another body.
+	minSettleTime = 150 * time.Millisecond
+	// livenessTimeout bounds the question.
+	livenessTimeout = time.Second
+	// sameConnectTimeout bounds the setup of a connection for it.
+	sameConnectTimeout = 250 * time.Millisecond
+	// maxProbeBytes is the longest body of a response to it that is read.
+	maxProbeBytes = 256 << 10
+)
+
+// Probe is a request by which a server shows that it lives.
+type Probe struct {
+	Target, Host string
+	Header       http.Header
+	// Attribute tells whether a response with the given header names another request.
+	Attribute func(http.Header) Attribution
+	// Identify tells which process sent a response, as far as it says.
+	Identify func(status int, h http.Header, body []byte) Identity
+}
+
+func (p Probe) request() *Request {
+	return &Request{Method: http.MethodGet, Target: p.Target, Host: p.Host, Header: p.Header, Attribute: p.Attribute}
+}
+
+// Identity tells which process sent a response.
+type Identity uint8
+
+// Identities of a process.
+const (
+	// Unidentified processes don't say which they are.
+	Unidentified Identity = iota
+	// SameProcess is the one that the record of the server describes.
+	SameProcess
+	// OtherProcess is another one.
+	OtherProcess
+)
+
+// Liveness is the evidence that the process which sent a response lived on after its end.
+type Liveness uint8
+
+// Evidence of liveness.
+const (
+	// NotShown: there is no evidence.
+	NotShown Liveness = iota
+	// ByConnection: it responded on a connection that was opened before the end.
+	ByConnection
+	// ByIdentity: it responded on a new connection and said which process it is.
+	ByIdentity
+)
+
+var errOtherProcess = errors.New("another process listens at the server's address")
+
+// LivedOn asks whether the process that sent a response lived on after its body ended with its connection, which the end
+// of a process looks like. The error tells why there is no evidence. Only the path of the response is used, because others
+// don't tell why its connection ended.
+func (p *Pool) LivedOn(ctx context.Context, resp *Response, s *backend.Server, probe Probe) (Liveness, error) {
+	ended := time.Now()
+	if err := sleep(ctx, settleTime); err != nil {
+		return NotShown, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+	defer cancel()
+	p.endChecks.Inc(1)
+	r := p.reference(resp.conn)
+	liveness, err := r.ask(ctx, resp, probe, ended.Add(minSettleTime))
+	switch {
+	case liveness == ByConnection, errors.Is(err, errOtherProcess):
+		return liveness, err
+	case r.brokeWith(resp, ended):
+		return NotShown, errReferenceBroken
+	case liveness == ByIdentity:
+		return liveness, nil
+	}
+	return p.identify(ctx, resp.conn.Via, s, probe)
+}
+
+// sleep waits for a time, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// identify asks on a new connection over the given path which process listens.
+func (p *Pool) identify(ctx context.Context, via string, s *backend.Server, probe Probe) (Liveness, error) {
+	c, err := p.connectSame(ctx, s, via)
+	if err != nil {
+		return NotShown, err
+	}
+	defer p.discard(c)
+	identity, err := c.ask(ctx, probe)
+	switch {
+	case err != nil:
+		return NotShown, err
+	case identity == SameProcess:
+		return ByIdentity, nil
+	case identity == OtherProcess:
+		return NotShown, errOtherProcess
+	default:
+		return NotShown, errors.New("process at the server's address doesn't say which it is")
+	}
+}
+
+// connectSame opens a connection over the given path.
+func (p *Pool) connectSame(ctx context.Context, s *backend.Server, via string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, sameConnectTimeout)
+	defer cancel()
+	p.dials.Inc(1)
+	link, err := p.connector.ConnectSame(ctx, s, via)
+	if err != nil {
+		p.dialFailures.Inc(1)
+		return nil, err
+	}
+	return p.newConn(s, link), nil
+}
+
+// ask sends a probe and returns which process responded. After an error the connection can't be used any more. What the
+// response says besides isn't taken in, because it may lack what responses to requests say.
+func (c *Conn) ask(ctx context.Context, probe Probe) (Identity, error) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	c.setReadTimeout(0)
+	r := probe.request()
+	c.requests++
+	if err := c.send(r); err != nil {
+		return Unidentified, err
+	}
+	resp, err := c.readResponse(r)
+	if err != nil {
+		return Unidentified, err
+	}
+	if r.Attribute(resp.Header) == Foreign {
+		return Unidentified, fmt.Errorf("%w: it belongs to another request", ErrMalformed)
+	}
+	body, complete := c.readProbeBody(resp)
+	if !complete {
+		c.closeAfterResponse = true
+	}
+	return probe.Identify(resp.Status, resp.Header, body), nil
+}
+
+// readProbeBody reads the body of a response to a probe and reports whether the connection can be used on.
+func (c *Conn) readProbeBody(resp *Response) (body []byte, complete bool) {
+	if resp.Framing == UntilClose {
+		return nil, false
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.body, maxProbeBytes+1))
+	return body, err == nil && len(body) <= maxProbeBytes
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -35,6 +36,10 @@
 	pool     *Pool
 	instance backend.Instance
 	service  string
+	// openedAt is when the connection was opened.
+	openedAt time.Time
+	// received is the number of bytes that were read from the link.
+	received atomic.Int64
 	// requests is the number of requests that were sent on the connection.
 	requests int
 	// readDeadline is the read deadline of the exchange, or zero, and readTimeout the time after which it was set.
@@ -68,6 +73,10 @@
 	idle map[idleKey][]*Conn
 	// unattributed holds the services whose servers sent responses without a request ID.
 	unattributed map[string]bool
+	// untilClose holds the services whose servers sent bodies that end with their connection, references the reference
+	// connections to servers.
+	untilClose map[string]bool
+	references map[referenceKey]*reference
 
 	dials, dialFailures, reuses, strayResponses, unattributedResponses, endChecks metrics.Counter
 	// unwrittenEnds and resetEnds count bodies that ended with their connection and aren't complete.
@@ -104,6 +113,8 @@
 		connector:             cfg.Connector,
 		idle:                  map[idleKey][]*Conn{},
 		unattributed:          map[string]bool{},
+		untilClose:            map[string]bool{},
+		references:            map[referenceKey]*reference{},
 		dials:                 metrics.GetOrRegisterCounter("upstream.dials", registry),
 		dialFailures:          metrics.GetOrRegisterCounter("upstream.dials_failed", registry),
 		reuses:                metrics.GetOrRegisterCounter("upstream.reuses", registry),
@@ -185,7 +196,7 @@
 }
 
 func (p *Pool) newConn(s *backend.Server, l Link) *Conn {
-	c := &Conn{Link: l, pool: p, instance: s.Instance(), service: s.Service}
+	c := &Conn{Link: l, pool: p, instance: s.Instance(), service: s.Service, openedAt: time.Now()}
 	c.input = &limitedReader{source: readerFunc(c.readLink)}
 	c.br = bufio.NewReaderSize(c.input, readBufferBytes)
 	return c
@@ -285,6 +296,7 @@
 // Sweep closes the connections that were idle for too long and those to servers
 // that are no longer usable.
 func (p *Pool) Sweep(usable func(backend.Instance) bool) {
+	p.sweepReferences()
 	p.mu.Lock()
 	var stale []*Conn
 	for key, list := range p.idle {
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -23,6 +23,7 @@
 func (c *Conn) readLink(p []byte) (int, error) {
 	for {
 		n, err := c.Link.Read(p)
+		c.received.Add(int64(n))
 		if n > 0 || c.onSilence == nil || !isReadTimeout(err) {
 			return n, err
 		}
@@ -47,6 +48,7 @@
 	go func() {
 		defer close(done)
 		n, err = c.Link.Read(p)
+		c.received.Add(int64(n))
 		heard <- n > 0
 	}()
 	if stop := c.onSilence(heard); stop != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinththread/jacinththread/backend"
@@ -111,6 +112,8 @@
 	ended      bool
 	// held closes the connection of a body that has ended with it.
 	held *time.Timer
+	// provenOpen is a time after the request was sent at which the connection is known to have been open, or nil.
+	provenOpen atomic.Pointer[time.Time]
 }
 
 // Do sends a request on a connection and returns the head of the response. The
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -82,6 +82,10 @@
 	return Link{Conn: c}, err
 }
 
+func (d directConnector) ConnectSame(ctx context.Context, s *backend.Server, _ string) (Link, error) {
+	return d.Connect(ctx, s, Paths{})
+}
+
 func (directConnector) Usable(string) bool { return false }
 
 func (directConnector) Heard(backend.Instance) {}
