Let answers that end with their connection open their reference connection together

Of four such answers that began together at a service, only the first got the evidence that its server lived on: the others found the reference connection being opened, looked again a second later, and had ended by then. They would have been refused, never passed on in part.

The reference connection is now locked only while it is opened, and marked while it is asked, so an answer that begins meanwhile waits for it. A test with four answers at a time failed three times of three before and holds three of three, with servers that keep the connection and with servers that close it. Further tests: one reference serves answers one after the other, is taken from the idle connections, and is closed when it isn't used.

--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -25,9 +25,14 @@
 // reference is a connection to a server that shows that its process lives: it ends with the process and with the path. It
 // serves all responses of the server on that path and carries no requests of callers.
 type reference struct {
-	// mu is held while the connection is opened or used.
+	// asking is held while a probe is sent and answered.
+	asking sync.Mutex
+
+	// mu guards the fields below, and is held while the connection is opened.
 	mu   sync.Mutex
 	conn *Conn
+	// inUse is set while a probe is sent and answered on conn, which may not be touched then.
+	inUse bool
 	// askedAt is when a probe was last sent that got a response, askedOpened when its connection was opened.
 	askedAt, askedOpened time.Time
 	// failedAt is when the connection could last not be opened, brokeAt when one was last found broken.
@@ -107,15 +112,13 @@
 	r.usedAt = time.Now()
 }
 
-// openReference opens a reference connection for the path of a connection, unless it is open or in use. It returns when the
-// connection was opened, and zero if there is none.
+// openReference opens a reference connection for the path of a connection, unless it is open. It returns when the connection
+// was opened, and zero if there is none.
 func (p *Pool) openReference(ctx context.Context, s *backend.Server, c *Conn) time.Time {
 	r := p.reference(c)
-	if !r.mu.TryLock() {
-		return time.Time{}
-	}
+	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn != nil && !r.conn.healthy() {
+	if r.conn != nil && !r.inUse && !r.conn.healthy() {
 		r.dropBroken()
 	}
 	if r.conn != nil {
@@ -186,47 +189,74 @@
 // ask asks for evidence on the connection, later than a given time. If the connection was opened before the body ended, any
 // response is evidence, otherwise one that names the process.
 func (r *reference) ask(ctx context.Context, resp *Response, probe Probe, after time.Time) (Liveness, error) {
+	r.asking.Lock()
+	defer r.asking.Unlock()
+	if r.hasEvidence(resp, after) {
+		return ByConnection, nil
+	}
+	c, err := r.use(ctx)
+	if err != nil {
+		return NotShown, err
+	}
+	sent := time.Now()
+	identity, err := c.ask(ctx, probe)
+	if err := r.endUse(ctx, sent, identity, err); err != nil {
+		return NotShown, err
+	}
+	switch {
+	case c.openedAt.Before(resp.openAt()):
+		return ByConnection, nil
+	case identity == SameProcess:
+		return ByIdentity, nil
+	}
+	return NotShown, errNoReference
+}
+
+// hasEvidence reports whether a probe that was sent later than a given time is evidence for a response as well.
+func (r *reference) hasEvidence(resp *Response, after time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.askedAt.After(after) && r.askedOpened.Before(resp.openAt())
+}
+
+// use returns the connection for a probe.
+func (r *reference) use(ctx context.Context) (*Conn, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.askedAt.After(after) && r.askedOpened.Before(resp.openAt()):
-		return ByConnection, nil
 	case r.conn == nil:
-		return NotShown, errNoReference
+		return nil, errNoReference
 	case ctx.Err() != nil:
-		return NotShown, ctx.Err()
+		return nil, ctx.Err()
 	case !r.conn.healthy():
 		r.dropBroken()
-		return NotShown, errReferenceBroken
+		return nil, errReferenceBroken
 	}
-	return r.askNow(ctx, r.conn.openedAt.Before(resp.openAt()), probe)
+	r.inUse = true
+	return r.conn, nil
 }
 
-func (r *reference) askNow(ctx context.Context, earlier bool, probe Probe) (Liveness, error) {
-	sent, opened := time.Now(), r.conn.openedAt
-	identity, err := r.conn.ask(ctx, probe)
+// endUse takes in the result of a probe that was sent at a time. It returns why it is no evidence, or nil.
+func (r *reference) endUse(ctx context.Context, sent time.Time, identity Identity, err error) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inUse = false
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled): // The caller left.
 		r.drop()
-		return NotShown, ctx.Err()
+		return ctx.Err()
 	case err != nil:
 		r.dropBroken()
-		return NotShown, err
+		return err
 	case identity == OtherProcess:
 		r.drop()
-		return NotShown, errOtherProcess
+		return errOtherProcess
 	}
-	r.askedAt, r.askedOpened = sent, opened
+	r.askedAt, r.askedOpened = sent, r.conn.openedAt
 	if r.conn.closeAfterResponse {
 		r.drop()
 	}
-	switch {
-	case earlier:
-		return ByConnection, nil
-	case identity == SameProcess:
-		return ByIdentity, nil
-	}
-	return NotShown, errNoReference
+	return nil
 }
 
 // openAt returns a time at which the response's connection is known to have been open at the server.
@@ -272,13 +302,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, r := range p.references {
-		if r.users > 0 || time.Since(r.usedAt) <= key.maxIdle() || !r.mu.TryLock() {
-			continue
+		if r.users == 0 && time.Since(r.usedAt) > key.maxIdle() && r.close() {
+			delete(p.references, key)
 		}
-		if r.conn != nil {
-			r.drop()
-		}
-		r.mu.Unlock()
-		delete(p.references, key)
 	}
 }
+
+// close closes the connection, unless it is opened or used now, and reports whether it did.
+func (r *reference) close() bool {
+	if !r.mu.TryLock() {
+		return false
+	}
+	defer r.mu.Unlock()
+	if r.inUse {
+		return false
+	}
+	if r.conn != nil {
+		r.drop()
+	}
+	return true
+}
