End one of two runs of a stream soon after the second one begins

Cause: only a whole event counted as the beginning of the second run. Until it came, up to three times the target or 400 ms, neither run was ended. Change: with the first byte of its body the second run has begun. If its first event isn't complete 200 ms later, the second run is ended and the silent server, whose connection is still up, kept; if it is complete, the silent one is ended as before. If the silent one's connection has ended meanwhile, the second run is the only one and goes on.

--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -16,6 +17,10 @@
 	"github.com/jacinththread/jacinththread/upstream"
 )
 
+// maxBothRun is how long a stream may run at two servers: a server that takes it up has to complete its first event within this
+// time after it began to send.
+const maxBothRun = 200 * time.Millisecond
+
 var (
 	// errTakenOver ends the read of a silent stream that another server has taken up.
 	errTakenOver = errors.New("server was silent and another one has taken up the stream")
@@ -23,6 +28,8 @@
 	errStalled = fmt.Errorf("server stalls inside an event: %w", os.ErrDeadlineExceeded)
 	// errHeardAgain cancels the attempt at another server because the silent one goes on.
 	errHeardAgain = errors.New("silent server goes on")
+	// errIncompleteEvent cancels the attempt at another server because that one doesn't complete its first event.
+	errIncompleteEvent = errors.New("server stops inside its first event")
 )
 
 // currentAttempt is what a request keeps of its current attempt.
@@ -53,14 +60,14 @@
 			return errStalled
 		}
 		silent := q.saveAttempt()
-		waiting, stop := untilHeard(ctx, heard)
+		run, stop := watchSilentRun(ctx, heard)
 		defer stop(nil)
-		for waiting.Err() == nil {
+		for run.waiting.Err() == nil {
 			inFlight := q.chooseElsewhere(ctx)
 			if inFlight == nil {
 				break
 			}
-			next, ok := q.tryElsewhere(ctx, waiting, inFlight)
+			next, ok := q.tryElsewhere(ctx, run, inFlight)
 			if ok {
 				q.takenOver = next
 				return errTakenOver
@@ -74,20 +81,29 @@
 	}
 }
 
-// untilHeard returns a context that ends when the silent server goes on. If its connection ends, the context doesn't:
-// another server is needed then.
-func untilHeard(ctx context.Context, heard <-chan bool) (context.Context, context.CancelCauseFunc) {
+// silentRun is the run of a stream at a silent server.
+type silentRun struct {
+	// waiting ends when the server goes on. If its connection ends, it doesn't: another server is needed then.
+	waiting context.Context
+	// ended is set once the connection has ended.
+	ended atomic.Bool
+}
+
+// watchSilentRun watches a silent server until the returned function is called.
+func watchSilentRun(ctx context.Context, heard <-chan bool) (*silentRun, context.CancelCauseFunc) {
 	waiting, stop := context.WithCancelCause(ctx)
+	run := &silentRun{waiting: waiting}
 	go func() {
 		select {
 		case goesOn := <-heard:
 			if goesOn {
 				stop(errHeardAgain)
 			}
+			run.ended.Store(!goesOn)
 		case <-waiting.Done():
 		}
 	}()
-	return waiting, stop
+	return run, stop
 }
 
 // takeover is an attempt at another server and its span.
@@ -96,28 +112,33 @@
 	span trace.Span
 }
 
-// tryElsewhere sends the request to another server and waits until it begins to send events, or until waiting ends. It
-// reports whether the server has taken up the stream.
-func (q *request) tryElsewhere(ctx, waiting context.Context, inFlight *placement.InFlight) (*takeover, bool) {
+// tryElsewhere sends the request to another server and waits until it begins to send events, or until the silent one goes
+// on. It reports whether the server has taken up the stream.
+func (q *request) tryElsewhere(ctx context.Context, silent *silentRun, inFlight *placement.InFlight) (*takeover, bool) {
 	q.lastServer, q.estimate = inFlight.Server, inFlight.Estimate
 	q.tried[inFlight.Server.Instance()] = true
 	q.cfg.Log.Info("stream is silent, asking another server to take it up", "request_id", q.meta.ID, "server", inFlight.Server.ID,
 		"after", q.stream.lastEventID())
 	// The exchange outlives the wait if the server takes up the stream.
 	exchange, cancel := context.WithCancelCause(ctx)
-	release := context.AfterFunc(waiting, func() { cancel(context.Cause(waiting)) })
+	release := context.AfterFunc(silent.waiting, func() { cancel(context.Cause(silent.waiting)) })
 	exchange, span := q.startAttemptSpan(exchange)
 	span.SetAttributes(attribute.String("server", inFlight.Server.ID))
 	next := &takeover{attemptResult: q.send(exchange, inFlight), span: span}
 	if next.response != nil {
-		next.err = q.awaitFirstEvent(next.attemptResult)
+		next.err = q.awaitFirstEvent(next.attemptResult, func() {
+			if !silent.ended.Load() {
+				cancel(errIncompleteEvent)
+			}
+		})
 		if next.err == nil && release() {
 			return next, true
 		}
 		next.response.Close()
 		q.attempts++
-		next.inFlight.End(time.Now(), q.placementResult(exchange, next.err))
-		q.cfg.Log.Info("silent stream not taken up", "request_id", q.meta.ID, "server", inFlight.Server.ID, "err", next.err)
+		next.inFlight.End(time.Now(), q.notTakenUp(exchange, next.err))
+		q.cfg.Log.Info("silent stream not taken up", "request_id", q.meta.ID, "server", inFlight.Server.ID, "err", next.err,
+			"cause", context.Cause(exchange))
 	}
 	span.SetStatus(codes.Error, "stream not taken up")
 	span.End()
@@ -125,13 +146,32 @@
 	return next, false
 }
 
-// awaitFirstEvent waits until a server that takes up a stream has sent an event that follows those that the caller has.
-func (q *request) awaitFirstEvent(res attemptResult) error {
+// notTakenUp returns the result of an attempt at a server that didn't take up a stream.
+func (q *request) notTakenUp(ctx context.Context, err error) placement.Result {
+	if errors.Is(context.Cause(ctx), errIncompleteEvent) {
+		return placement.Unreachable
+	}
+	return q.placementResult(ctx, err)
+}
+
+// awaitFirstEvent waits until a server that takes up a stream has sent an event that follows those that the caller has. It calls
+// endRun if the server has begun to send and no event is complete maxBothRun later.
+func (q *request) awaitFirstEvent(res attemptResult, endRun func()) error {
 	if !isEventStream(res.response) || !q.cfg.HeaderCodec.IsAuthentic(res.response.Header) {
 		return fmt.Errorf("%w: status %d instead of an event stream", errServerFailed, res.response.Status)
 	}
 	res.response.SetReadTimeout(q.firstByteTimeout())
-	return res.response.AwaitBody(q.stream.continuedBy)
+	var limit *time.Timer
+	return res.response.AwaitBody(func(received []byte) (bool, error) {
+		continued, err := q.stream.continuedBy(received)
+		if limit == nil && len(received) > 0 {
+			limit = time.AfterFunc(maxBothRun, endRun)
+		}
+		if continued || err != nil {
+			limit.Stop()
+		}
+		return continued, err
+	})
 }
 
 // chooseElsewhere chooses another server that may get the request now, and takes a retry for it. It returns nil if there
