--- a/tunnel/early_test.go
+++ b/tunnel/early_test.go
@@ -28,6 +28,11 @@
 	return upstream.Link{Conn: conn, Via: via}, err
 }
 
+func (c tunnelConnector) ConnectSame(ctx context.Context, s *backend.Server, via string) (upstream.Link, error) {
+	conn, err := c.OpenThrough(ctx, via, s.Instance())
+	return upstream.Link{Conn: conn, Via: via}, err
+}
+
 func (c tunnelConnector) Heard(backend.Instance) {}
 
 func (c tunnelConnector) Received() {}
