Count requests whose responses come late in usage reports

Seen while looking for the lost usage of TestUsageIsThatOfTheServers, by reading: a request is counted when its response is seen, at the time at which it began. The counts of that time are sent 0.4 s later at the earliest, and once confirmed they aren't sent again. A test with responses that take 2 s reports 0 of 50 requests. Change: such a request counts in the first slot that hasn't been sent, so it is in the next report that can still take it.

--- a/metering/counter.go
+++ b/metering/counter.go
@@ -22,6 +22,8 @@
 
 	mu    sync.Mutex
 	slots map[int64]map[string]int64
+	// sent is the slot before which all counts have been sent, so that later ones would be in no report.
+	sent int64
 }
 
 // newCounter returns an empty counter. The clock must not jump.
@@ -29,15 +31,15 @@
 	return &Counter{clock: clock, keep: keep, since: clock(), slots: map[int64]map[string]int64{}}
 }
 
-// Began counts a request of a customer that a server began some time ago. A nil counter, and a request
-// without a customer, count nothing.
+// Began counts a request of a customer that a server began some time ago, in the slot of that time or the first one that hasn't
+// been sent. A nil counter, and a request without a customer, count nothing.
 func (c *Counter) Began(customer string, ago time.Duration) {
 	if c == nil || customer == "" {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	slot := slotOf(c.clock() - max(0, ago))
+	slot := max(c.sent, slotOf(c.clock()-max(0, ago)))
 	if c.slots[slot] == nil {
 		c.slots[slot] = map[string]int64{}
 	}
@@ -51,11 +53,12 @@
 	N        int64
 }
 
-// between returns the counts of the slots from a first one up to, but not including, a last one, in order of
-// slots.
-func (c *Counter) between(from, to int64) []count {
+// toSend returns the counts of the slots from a first one up to, but not including, a last one, in order of
+// slots. They don't change afterwards.
+func (c *Counter) toSend(from, to int64) []count {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sent = max(c.sent, to)
 	var out []count
 	for slot, customers := range c.slots {
 		if slot < from || slot >= to {
--- a/metering/sender.go
+++ b/metering/sender.go
@@ -122,7 +122,7 @@
 	s.lastSent = now
 	from := max(s.confirmed, s.counter.oldestKept())
 	to := slotOf(now - settleTime)
-	m := newCountsMessage(now, from, s.counter.between(from, to), to)
+	m := newCountsMessage(now, from, s.counter.toSend(from, to), to)
 	m.Run, m.Token = s.run, uint64(token)
 	return m
 }
