Begin each usage window where the one before was cut

Cause, by reading: the time by which windows are cut is told by messages, so the end of one window and the begin of the next, told again, may differ by the time that a message took. Counts in between were in no report, or in two. Change: the leader keeps where it cut a window, and the next one begins there. A warning names the requests that a daemon reports after their window was decided, so that lost usage can be told from late usage.

--- a/metering/collector.go
+++ b/metering/collector.go
@@ -13,6 +13,9 @@
 type collector struct {
 	sources map[sourceID]*source
 	slots   map[int64]map[string]int64
+	// decided is the end of the last window that was decided, late the number of requests that came after their window was.
+	decided time.Duration
+	late    int64
 }
 
 // sourceID identifies one process of a daemon.
@@ -58,7 +61,11 @@
 		if slot < s.next || int(e.Customer) >= len(m.Customers) {
 			continue
 		}
-		c.addCount(max(s.known, slotOf(s.toLeader(slot))), m.Customers[e.Customer], int64(e.N))
+		slot = max(s.known, slotOf(s.toLeader(slot)))
+		if time.Duration(slot)*slotLength < c.decided {
+			c.late += int64(e.N)
+		}
+		c.addCount(slot, m.Customers[e.Customer], int64(e.N))
 	}
 	s.next = max(s.next, m.To)
 	s.known = max(s.known, slotOf(s.toLeader(s.next)))
--- a/metering/leader.go
+++ b/metering/leader.go
@@ -87,6 +87,8 @@
 	revision store.Revision
 	stored   []Report
 	status   map[int64]*Status
+	// cuts holds when windows end, by the leader's clock of slots, from the one before the first that was decided.
+	cuts map[int64]time.Duration
 
 	reported, late, partial metrics.Counter
 }
@@ -105,7 +107,7 @@
 // NewLeader returns a service that has not been started and registers its message handler.
 func NewLeader(cfg Config) *Leader {
 	l := &Leader{
-		cfg: cfg, collector: newCollector(), status: map[int64]*Status{},
+		cfg: cfg, collector: newCollector(), status: map[int64]*Status{}, cuts: map[int64]time.Duration{},
 		reported: metrics.GetOrRegisterCounter("metering.reported", cfg.Metrics),
 		late:     metrics.GetOrRegisterCounter("metering.overdue", cfg.Metrics),
 		partial:  metrics.GetOrRegisterCounter("metering.partial", cfg.Metrics),
@@ -123,8 +125,13 @@
 		l.mu.Unlock()
 		return
 	}
+	lateBefore := l.collector.late
 	to := l.collector.add(from, msg, l.cfg.Clock())
+	late := l.collector.late - lateBefore
 	l.mu.Unlock()
+	if late > 0 {
+		l.cfg.Log.Warn("usage counts came after their window was decided", "daemon", from, "requests", late)
+	}
 	if err := l.cfg.Bus.Send(from, &confirmMessage{Run: msg.Run, Token: msg.Token, To: to}); err != nil {
 		l.cfg.Log.Debug("confirming usage counts failed", "daemon", from, "err", err)
 	}
@@ -138,7 +145,8 @@
 	}
 	if t != l.term {
 		l.term, l.since = t, l.cfg.Clock()
-		l.collector, l.loaded, l.stored, l.status = newCollector(), false, nil, map[int64]*Status{}
+		l.collector, l.loaded, l.stored = newCollector(), false, nil
+		l.status, l.cuts = map[int64]*Status{}, map[int64]time.Duration{}
 	}
 	return true
 }
@@ -196,23 +204,35 @@
 		if l.isStored(window) {
 			continue
 		}
-		end := w.end(window) - wallAhead
+		begin, end := l.cut(window-1, wallAhead), l.cut(window, wallAhead)
 		missing := l.collector.missing(l.cfg.Daemons(), end)
 		state := windowState{now: now + wallAhead, coveredSince: covered + wallAhead, missing: len(missing), collecting: now - l.since}
 		switch w.consider(window, state) {
 		case decide:
 			l.status[window] = &Status{Window: window, Missing: missing}
-			decided = append(decided, Report{Window: window, Counts: l.collector.window(end-w.Length, end)})
+			l.cuts[window-1], l.cuts[window] = begin, end
+			decided = append(decided, Report{Window: window, Counts: l.collector.window(begin, end)})
 		case wait, skip:
 		}
 	}
 	l.collector.forget(now - w.kept() - w.Length)
+	maps.DeleteFunc(l.cuts, func(window int64, _ time.Duration) bool { return window < first-1 })
 	return decided, first
 }
 
+// cut returns when a window ends, by the leader's clock of slots. The next one begins there, also if other messages now show
+// another time, so that every slot is in one window. The caller must hold l.mu.
+func (l *Leader) cut(window int64, wallAhead time.Duration) time.Duration {
+	if end, known := l.cuts[window]; known {
+		return end
+	}
+	return l.cfg.Windows.end(window) - wallAhead
+}
+
 // logDecided records a decided window. The caller must hold l.mu.
 func (l *Leader) logDecided(r *Report) {
 	s := l.status[r.Window]
+	l.collector.decided = max(l.collector.decided, l.cuts[r.Window])
 	l.forgetStatus()
 	s.Requests = r.Total()
 	if len(s.Missing) > 0 {
