Reject response heads that aren't valid, before net/http reads them

Cause: the parser of net/http accepts blanks in the names of fields, folded lines, other versions, and a length beside a transfer coding, and hides most of it. A length or a coding whose name has a blank behind it gave a body that wasn't the server's, and such lines were passed on. HEAD responses without a length were taken for ones that end with their connection. Change: package httpcheck checks each head line by line in the read buffer, also of informational responses; trailers are checked by their names. Counters upstream.malformed.* tell the causes apart.

--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -8,14 +8,20 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
-// FuzzResponse sends any bytes as the response to a request. No response to another request may be returned, and the body
-// ends.
+// FuzzResponse sends any bytes as the response to a request. No response to another request and no malformed one may be
+// returned, and the body ends.
 func FuzzResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 503 Unavailable\r\nId: 2\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	for _, responses := range malformedResponses {
+		for _, response := range responses {
+			f.Add([]byte(response))
+		}
+	}
 	f.Fuzz(func(t *testing.T, response []byte) {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
@@ -37,6 +43,9 @@
 		if id != "" && id != "1" || !resp.Attributed {
 			t.Fatalf("response with ID %q, attributed %v", id, resp.Attributed)
 		}
+		if err := httpcheck.CheckTrailer(resp.Header); err != nil {
+			t.Fatal(err)
+		}
 		if _, err := io.Copy(io.Discard, resp); err == nil && ctx.Err() != nil {
 			t.Fatal("the body did not end")
 		}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -1,12 +1,16 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 const (
@@ -19,7 +23,7 @@
 	maxHeadTime = time.Second
 )
 
-var errHeadTooLong = errors.New("head of the response is too long")
+var errHeadTooLong = &httpcheck.Error{Cause: httpcheck.LongHead, Detail: "too many bytes"}
 
 // readerFunc is a function that reads like io.Reader.
 type readerFunc func(p []byte) (int, error)
@@ -62,10 +66,53 @@
 		c.SetReadDeadline(latest)
 		defer func() { c.SetReadDeadline(c.readDeadline) }()
 	}
-	res, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	err := c.checkHead()
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() && !time.Now().Before(latest) {
-		return nil, fmt.Errorf("%w: head not complete after %v", ErrMalformed, maxHeadTime)
+		return nil, &httpcheck.Error{Cause: httpcheck.LongHead, Detail: fmt.Sprintf("not complete after %v", maxHeadTime)}
+	}
+	if err != nil {
+		return nil, err
 	}
-	return res, err
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
+// checkHead waits until the next head has arrived and checks its bytes, which net/http reads afterwards.
+func (c *Conn) checkHead() error {
+	var head httpcheck.Head
+	for {
+		received, _ := c.br.Peek(c.br.Buffered())
+		if n, err := head.Check(received); err != nil || n > 0 {
+			return err
+		}
+		if len(received) >= maxHeadBytes {
+			return errHeadTooLong
+		}
+		if len(received) == c.br.Size() {
+			c.growBuffer()
+		}
+		if _, err := c.br.Peek(len(received) + 1); err != nil {
+			return insideHead(err)
+		}
+	}
+}
+
+// insideHead returns the error for a connection that failed inside a head.
+func insideHead(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// growBuffer makes the read buffer large enough for any head.
+func (c *Conn) growBuffer() {
+	received, _ := c.br.Peek(c.br.Buffered())
+	source := io.MultiReader(bytes.NewReader(bytes.Clone(received)), c.input)
+	c.br = bufio.NewReaderSize(source, maxHeadBytes)
+}
+
+// hasBody reports whether a response has a body, whatever its fields say.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 const (
@@ -81,6 +83,8 @@
 	dials, dialFailures, reuses, strayResponses, unattributedResponses, endChecks metrics.Counter
 	// unwrittenEnds and resetEnds count bodies that ended with their connection and aren't complete.
 	unwrittenEnds, resetEnds metrics.Counter
+	// malformed counts malformed responses by their cause.
+	malformed map[httpcheck.Cause]metrics.Counter
 }
 
 // Config configures a Pool.
@@ -108,6 +112,10 @@
 // NewPool returns an empty pool and registers its metrics.
 func NewPool(cfg Config) *Pool {
 	registry := cfg.Metrics
+	malformed := map[httpcheck.Cause]metrics.Counter{}
+	for _, cause := range httpcheck.Causes() {
+		malformed[cause] = metrics.GetOrRegisterCounter("upstream.malformed."+cause.String(), registry)
+	}
 	return &Pool{
 		cfg:                   cfg,
 		connector:             cfg.Connector,
@@ -123,6 +131,14 @@
 		endChecks:             metrics.GetOrRegisterCounter("upstream.end_checks", registry),
 		unwrittenEnds:         metrics.GetOrRegisterCounter("upstream.ends_unwritten", registry),
 		resetEnds:             metrics.GetOrRegisterCounter("upstream.ends_reset", registry),
+		malformed:             malformed,
+	}
+}
+
+// countMalformed counts a response if err means that it is malformed.
+func (p *Pool) countMalformed(err error) {
+	if errors.Is(err, ErrMalformed) {
+		p.malformed[httpcheck.CauseOf(err)].Inc(1)
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 // Request is a request to a server.
@@ -68,7 +69,7 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrMalformed means that the received bytes are not a valid response to
 	// the request.
-	ErrMalformed = errors.New("answer is malformed")
+	ErrMalformed = httpcheck.ErrMalformed
 )
 
 const (
@@ -102,8 +103,8 @@
 	// tells nothing about what the server does with the request.
 	Attributed bool
 
-	body io.ReadCloser
-	conn *Conn
+	parsed *http.Response
+	conn   *Conn
 	// first holds bytes of the body that were read by AwaitBody.
 	first []byte
 	// stopCancel detaches the connection from the context of the exchange. It
@@ -134,6 +135,7 @@
 	if err != nil {
 		stop()
 		p.discard(c)
+		p.countMalformed(err)
 		if c.Via == "" && saysUnanswered(ctx, err) {
 			p.connector.Unanswered(c.instance, sentAt)
 		}
@@ -179,9 +181,12 @@
 		if resp.Framing == UntilClose {
 			return nil, fmt.Errorf("%w: it belongs to another request", ErrMalformed)
 		}
-		if _, err := io.CopyN(io.Discard, resp.body, maxStrayBytes); err != io.EOF {
+		if _, err := io.CopyN(io.Discard, resp.parsed.Body, maxStrayBytes); err != io.EOF {
 			return nil, fmt.Errorf("skipping the answer to another request: %w", err)
 		}
+		if err := httpcheck.CheckTrailer(resp.parsed.Trailer); err != nil {
+			return nil, err
+		}
 	}
 	return nil, fmt.Errorf("%w: %d answers belong to other requests", ErrMalformed, maxStrayResponses)
 }
@@ -280,7 +285,7 @@
 			c.pool.connector.Heard(c.instance)
 		}
 		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
-			return c.newResponse(res)
+			return c.newResponse(r.Method, res), nil
 		}
 	}
 	return nil, fmt.Errorf("%w: %d informational responses", ErrMalformed, maxInformational)
@@ -290,6 +295,9 @@
 // connection are returned unchanged.
 func readError(err error) error {
 	var netErr net.Error
+	if errors.Is(err, ErrMalformed) {
+		return err
+	}
 	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return err
 	}
@@ -298,18 +306,20 @@
 
 // newResponse converts a parsed response and records what it says about reuse
 // of the connection.
-func (c *Conn) newResponse(res *http.Response) (*Response, error) {
-	resp := &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, body: res.Body, conn: c}
+func (c *Conn) newResponse(method string, res *http.Response) *Response {
+	resp := &Response{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, parsed: res, conn: c}
 	resp.Notice = c.pool.cfg.ParseNotice(res.StatusCode, res.Header)
 	c.closeAfterResponse = res.Close
 	c.parseKeepAlive(res.Header)
 	switch {
+	case !hasBody(method, res.StatusCode):
+		resp.Length = max(res.ContentLength, 0)
 	case len(res.TransferEncoding) > 0:
 		resp.Framing = Chunked
 	case res.ContentLength < 0:
 		resp.Framing = UntilClose
 	}
-	return resp, nil
+	return resp
 }
 
 // parseKeepAlive records the idle timeout that the server states in a
@@ -351,7 +361,7 @@
 		resp.first = resp.first[n:]
 		return n, nil
 	}
-	n, err := resp.body.Read(p)
+	n, err := resp.parsed.Body.Read(p)
 	if n > 0 && resp.conn.Via == "" {
 		resp.conn.pool.connector.Received()
 	}
@@ -364,6 +374,10 @@
 // finish ends the exchange after the last byte of the body. It returns io.EOF if the body is complete. The connection
 // is then returned to the pool, unless the body has ended with it.
 func (resp *Response) finish() error {
+	if err := httpcheck.CheckTrailer(resp.parsed.Trailer); err != nil {
+		resp.conn.pool.countMalformed(err)
+		return err
+	}
 	if resp.Framing == UntilClose {
 		if err := resp.conn.checkEnd(); err != nil {
 			return err
