Reject responses with a status below 100, over 599, or 101

Cause: everything below 200 was skipped as informational, also 000 and 099, and the response behind it was taken. An unasked 101 and statuses from 600 on were answers. Evidence: all 7 responses of TestMalformedResponsesAreNeverAnswers/status failed before the change. Change: the check of the first line of a head rejects them. Result: all 7 are malformed and close the connection.

--- a/httpcheck/head.go
+++ b/httpcheck/head.go
@@ -3,9 +3,16 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
+// Statuses of a response.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // Head checks the head of one response while its bytes arrive. The zero value is ready for use.
 type Head struct {
 	// searched is how many bytes were searched for the end of a line, and checked how many are lines that were checked.
@@ -55,6 +62,14 @@
 		return malformed(BadStatusLine, line)
 	}
 	h.status = int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0')
+	return checkStatus(h.status)
+}
+
+// checkStatus checks a status. No request of this system asks for another protocol.
+func checkStatus(status int) error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return &Error{Cause: BadStatus, Detail: strconv.Itoa(status)}
+	}
 	return nil
 }
 
--- a/httpcheck/head_fuzz_test.go
+++ b/httpcheck/head_fuzz_test.go
@@ -51,6 +51,9 @@
 		if err != nil {
 			return // net/http is stricter at times.
 		}
+		if res.StatusCode < 100 || res.StatusCode > 599 || res.StatusCode == http.StatusSwitchingProtocols {
+			t.Fatalf("status %d", res.StatusCode)
+		}
 		if err := checkFields(res.Header, BadFieldName); err != nil {
 			t.Fatal(err)
 		}
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -43,6 +44,9 @@
 		if id != "" && id != "1" || !resp.Attributed {
 			t.Fatalf("response with ID %q, attributed %v", id, resp.Attributed)
 		}
+		if resp.Status < http.StatusOK || resp.Status > 599 {
+			t.Fatalf("status %d", resp.Status)
+		}
 		if err := httpcheck.CheckTrailer(resp.Header); err != nil {
 			t.Fatal(err)
 		}
--- a/upstream/heads_test.go
+++ b/upstream/heads_test.go
@@ -30,6 +30,15 @@
 		"control byte in reason":  "HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n",
 		"empty line before":       "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	},
+	"status": {
+		"000":                     "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
+		"000 before another":      "HTTP/1.1 000 None\r\n\r\n" + sound,
+		"099 before another":      "HTTP/1.1 099 None\r\n\r\n" + sound,
+		"101":                     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbytes",
+		"101 before another":      "HTTP/1.1 101 Switching Protocols\r\n\r\n" + sound,
+		"600":                     "HTTP/1.1 600 Large\r\nContent-Length: 0\r\n\r\n",
+		"999 after informational": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 999 Large\r\nContent-Length: 0\r\n\r\n",
+	},
 	"field_name": {
 		"blank before the colon of a length": "HTTP/1.1 200 OK\r\nContent-Length : 6\r\n\r\nanswer",
 		"blank before the colon of a coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -284,7 +284,7 @@
 		if c.Via == "" {
 			c.pool.connector.Heard(c.instance)
 		}
-		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+		if res.StatusCode >= http.StatusOK {
 			return c.newResponse(r.Method, res), nil
 		}
 	}
