Check the answers that clients of net/http read as well

Change: httpcheck.Transport checks status, version, names of fields and trailers, also of informational responses, and ends a body that has no length with an error. The platform's store and control API may still answer without a length: their documents are JSON objects, of which a part is no JSON. A 503 without a length still is a refusal, and a stream of an engine ends with its marker.

--- a/bench/load.go
+++ b/bench/load.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 const (
@@ -23,7 +25,9 @@
 	terminalEvent     = "data: [DONE]"
 )
 
-var client = &http.Client{Transport: &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns}}
+var client = &http.Client{Transport: &httpcheck.Transport{
+	Base: &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns},
+}}
 
 var errIncomplete = errors.New("response ends without the event [DONE]")
 
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/gravitational/trace"
+	"github.com/jacinththread/jacinththread/httpcheck"
 	"github.com/jacinththread/jacinththread/membership"
 )
 
@@ -29,7 +30,7 @@
 		return nil, err
 	}
 	defer resp.close()
-	body, err := io.ReadAll(io.LimitReader(&progressReader{resp.Body, resp.watchdog}, maxResponseBytes+1))
+	body, whole, err := httpcheck.ReadAll(io.LimitReader(&progressReader{resp.Body, resp.watchdog}, maxResponseBytes+1))
 	if err != nil {
 		return nil, trace.Wrap(c.classifyError(resp.Request.Context(), err, true), "server %s", srv.Name)
 	}
@@ -39,6 +40,10 @@
 	if err := refusalError(resp.StatusCode, body, call.Once); err != nil {
 		return nil, trace.Wrap(err, "server %s", srv.Name)
 	}
+	if !whole {
+		err := c.classifyError(resp.Request.Context(), httpcheck.ErrEndUnknown, true)
+		return nil, trace.Wrap(err, "server %s", srv.Name)
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jacinththread/jacinththread/httpcheck"
 	"github.com/jacinththread/jacinththread/membership"
 	"github.com/rcrowley/go-metrics"
 )
@@ -51,6 +52,8 @@
 	dispatched   metrics.Counter
 	timedOut     metrics.Counter
 	incomplete   metrics.Counter
+	malformed    metrics.Counter
+	endsUnknown  metrics.Counter
 	notConnected metrics.Counter
 }
 
@@ -68,6 +71,8 @@
 		dispatched:      metrics.NewRegisteredCounter("dispatch.opened", cfg.Metrics),
 		timedOut:        metrics.NewRegisteredCounter("dispatch.silent", cfg.Metrics),
 		incomplete:      metrics.NewRegisteredCounter("dispatch.broken", cfg.Metrics),
+		malformed:       metrics.NewRegisteredCounter("dispatch.malformed", cfg.Metrics),
+		endsUnknown:     metrics.NewRegisteredCounter("dispatch.ends_unknown", cfg.Metrics),
 		notConnected:    metrics.NewRegisteredCounter("dispatch.not_sent", cfg.Metrics),
 	}
 }
@@ -78,14 +83,14 @@
 // connection and is sent exactly once.
 func newHTTPClient(dial dialFunc, keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &httpcheck.Transport{Base: &http.Transport{
 			DialContext:            dial,
 			DisableKeepAlives:      !keepAlive,
 			MaxIdleConnsPerHost:    maxIdlePerServer,
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
 			DisableCompression:     true,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -165,18 +170,32 @@
 		return cause
 	}
 	c.incomplete.Inc(1)
+	c.countCause(err)
 	return fmt.Errorf("%w: %v", ErrIncomplete, err)
 }
 
+// countCause counts an answer that is malformed, or has ended with its connection.
+func (c *Client) countCause(err error) {
+	switch {
+	case errors.Is(err, httpcheck.ErrMalformed):
+		c.malformed.Inc(1)
+	case errors.Is(err, httpcheck.ErrEndUnknown):
+		c.endsUnknown.Inc(1)
+	}
+}
+
 // readErrorResponse reads a response with an error status and returns it as an error.
 func readErrorResponse(resp *openResponse) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	body, whole, err := httpcheck.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrIncomplete, err)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return unavailableError(body)
 	}
+	if !whole {
+		return fmt.Errorf("%w: %v", ErrIncomplete, httpcheck.ErrEndUnknown)
+	}
 	return &StatusError{
 		Status:      resp.StatusCode,
 		ContentType: resp.Header.Get("Content-Type"),
--- a/store/httpcall/httpcall.go
+++ b/store/httpcall/httpcall.go
@@ -10,14 +10,18 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/jacinththread/jacinththread/httpcheck"
 	"github.com/jacinththread/jacinththread/store"
 )
 
-// Response is an HTTP response with its complete body.
+// Response is an HTTP response with its body.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// Whole is set if the body is certainly complete. Otherwise it has ended with its connection, and may be used only if
+	// its content tells its end, as a JSON object does.
+	Whole bool
 }
 
 var errTooLong = errors.New("response is too long")
@@ -35,14 +39,14 @@
 		return Response{}, connected.Load(), err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBytes+1))
+	body, whole, err := httpcheck.ReadAll(io.LimitReader(res.Body, maxBytes+1))
 	if err == nil && int64(len(body)) > maxBytes {
 		err = errTooLong
 	}
 	if err != nil {
 		return Response{}, true, fmt.Errorf("reading the response: %w", err)
 	}
-	return Response{Status: res.StatusCode, Header: res.Header, Body: body}, true, nil
+	return Response{Status: res.StatusCode, Header: res.Header, Body: body, Whole: whole}, true, nil
 }
 
 // ReadError returns the error for a read without a usable response. It wraps
--- a/store/httpstore/call.go
+++ b/store/httpstore/call.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinththread/jacinththread/httpcheck"
 	"github.com/jacinththread/jacinththread/store"
 	"github.com/jacinththread/jacinththread/store/httpcall"
 )
@@ -66,6 +67,9 @@
 		req.Header.Set(cond.header, cond.value)
 	}
 	got, sent, err := httpcall.Do(c.http, req, maxResponseBytes)
+	if err == nil && !got.Whole { // A part of a value is a value.
+		err = httpcheck.ErrEndUnknown
+	}
 	return response{got}, sent, err
 }
 
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/jacinththread/jacinththread/httpcheck"
 	"github.com/jacinththread/jacinththread/store"
 )
 
@@ -79,11 +80,11 @@
 		base:      base,
 		timeout:   timeout,
 		watchWait: defaultWatchWait,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: &httpcheck.Transport{Base: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		}},
+		}}},
 	}
 	c.register(metrics.NewRegistry())
 	for _, o := range options {
