Don't count a body as whole if its connection was closed here meanwhile

Cause: a socket that was closed here, because the request's time had run out or its caller had left, tells nothing about the end of the connection, and a body without a length counted as whole then. Evidence: TestEndOfAConnectionThatWasClosedHereIsNotWhole failed before the change. Change: such a body ends with an error. Result: the test passes, as do the others of early responses, twice each with the race detector.

--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -149,3 +150,23 @@
 		assert.Assert(t, errors.Is(c.Link.Close(), net.ErrClosed), "closed by the caller: %v", closes)
 	}
 }
+
+// It guards against a body that counts as whole because its connection was closed here before its end was checked.
+func TestEndOfAConnectionThatWasClosedHereIsNotWhole(t *testing.T) {
+	s := serve(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		io.WriteString(c, unsizedHead+"answer")
+	})
+	p := newPool()
+	c, err := p.Connect(t.Context(), s, Use{MaxIdle: time.Hour})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := p.Do(ctx, c, request("1"), 0)
+	assert.NilError(t, err)
+	defer resp.Close()
+	time.Sleep(20 * time.Millisecond) // The end of the connection arrives.
+	c.br.Peek(c.br.Size())            // It is read.
+	cancel()
+	_, err = io.ReadAll(resp)
+	assert.Assert(t, err != nil)
+}
--- a/upstream/end.go
+++ b/upstream/end.go
@@ -49,6 +49,7 @@
 var (
 	errReset      = fmt.Errorf("connection was reset: %w", syscall.ECONNRESET)
 	errNotWritten = fmt.Errorf("connection ended before the request was written: %w", io.ErrUnexpectedEOF)
+	errClosedHere = fmt.Errorf("connection was closed while its end was checked: %w", net.ErrClosed)
 	errNotEnded   = fmt.Errorf("connection ended before the request was delivered: %w", io.ErrUnexpectedEOF)
 )
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -382,8 +382,10 @@
 		if err := resp.conn.checkEnd(); err != nil {
 			return err
 		}
+		if !resp.stopCancel() { // The socket of a connection that was closed here tells nothing.
+			return errClosedHere
+		}
 		resp.ended = true
-		resp.stopCancel()
 		resp.hold()
 		return io.EOF
 	}
