Check trailers of responses to liveness checks like those of other responses

A response with an invalid trailer now leaves its connection unused. The tests of upstream, forward and tunnel pass with the race detector.

--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/backend"
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 const (
@@ -166,6 +167,9 @@
 	if resp.Framing == UntilClose {
 		return nil, false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.body, maxProbeBytes+1))
+	body, err := io.ReadAll(io.LimitReader(resp.parsed.Body, maxProbeBytes+1))
+	if err == nil {
+		err = httpcheck.CheckTrailer(resp.parsed.Trailer)
+	}
 	return body, err == nil && len(body) <= maxProbeBytes
 }
