Refuse requests of a service in the order of urgency

A server that is too far behind for a class takes nothing less urgent; slots are closed to less urgent classes before one is refused; requests above the least urgent class are tried elsewhere; and daemons tell each other how many requests of each class were offered and got nothing, and close less urgent ones by that and by the waits that they see.

--- a/forward/wait.go
+++ b/forward/wait.go
@@ -20,6 +20,23 @@
 	}
 }
 
+// lateWaitShare is the share of its latency target that a request was expected to wait at least, if it counts as one
+// that its server had no time for. Answers are also lost for other reasons.
+const lateWaitShare = 0.25
+
+// recordUnserved records a request that got nothing because servers had no room for it in time: it was refused for
+// that, or a busy server didn't begin to answer before the caller left or the time was over.
+func (q *request) recordUnserved() {
+	if len(q.meta.Prompt) == 0 || !q.firstByteAt.IsZero() {
+		return
+	}
+	ended := (q.outcome == left || q.outcome == unknown) && q.crashes == 0 && time.Since(q.in.Arrived) > q.route.Target
+	busy := q.sends > 0 && q.estimate.Wait > time.Duration(lateWaitShare*float64(q.route.Target))
+	if q.unserved || ended && busy {
+		q.cfg.Tracker.RecordUnserved(time.Now(), q.placementRequest())
+	}
+}
+
 // recordAccepted records, once, that the request is being served.
 func (q *request) recordAccepted(req placement.Request) {
 	if q.accepted || len(q.meta.Prompt) == 0 {
@@ -48,7 +65,9 @@
 }
 
 // mayWait reports whether a request that was refused may be accepted as soon as slots become free.
-func mayWait(r *placement.Refusal) bool { return r.Reason == placement.SlotsUsed }
+func mayWait(r *placement.Refusal) bool {
+	return r.Reason == placement.SlotsUsed || r.Reason == placement.MoreUrgentUnserved
+}
 
 // waitEntry describes the request for the queue.
 func (q *request) waitEntry(req placement.Request) *admission.Entry {
--- a/placement/room.go
+++ b/placement/room.go
@@ -10,6 +10,16 @@
 // RecordOffer records that a customer offered a request to the local daemon, once for each request.
 func (t *Tracker) RecordOffer(now time.Time, req Request) {
 	t.shares.Offered(now, req.class(), req.Customer, req.work())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turnouts.record(req.class(), turnout{offered: 1, updatedAt: now})
+}
+
+// RecordUnserved records that a request that was offered got nothing because servers had no room for it in time.
+func (t *Tracker) RecordUnserved(now time.Time, req Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turnouts.record(req.class(), turnout{unserved: 1, updatedAt: now})
 }
 
 // RecordAccepted records that a request that was offered is being served, once for each request.
@@ -33,7 +43,8 @@
 		running += candidates[i].Running
 	}
 	interval := time.Duration(float64(t.hold.orDefault()) * float64(max(1, t.daemons)) / max(1, running))
-	return admission.Pace{Interval: interval, Share: t.acceptedShare(now, candidates, &req)}
+	share := min(t.acceptedShare(now, candidates, &req), t.openShare(now, candidates, &req))
+	return admission.Pace{Interval: interval, Share: share}
 }
 
 // RefuseBySlots returns the refusal of a request for which no slots are left because others wait for them.
