Don't count an answer as whole if it was unread for long

Callers could get a part of an answer as the whole one although its server lives on: servers cut off an answer that stays unread for some seconds, because a caller reads slowly or the path is lost, and close its connection in order. The evidence that the process lived on says nothing about that.

A connection that ends in order doesn't tell whether the server had more to send.

Change: the longest time between two reads of a body that ends with its connection is recorded, from its first byte on. Over two seconds, or if the connection has been reset by the time at which evidence is asked for, the body isn't whole.

The case itself was found by reading the terms for servers, not seen.

--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -73,9 +73,15 @@
 // don't tell why its connection ended.
 func (p *Pool) LivedOn(ctx context.Context, resp *Response, s *backend.Server, probe Probe) (Liveness, error) {
 	ended := time.Now()
+	if resp.pauses.longest > maxReadPause {
+		return NotShown, errReadPause
+	}
 	if err := sleep(ctx, settleTime); err != nil {
 		return NotShown, err
 	}
+	if resp.WasReset() {
+		return NotShown, errReset
+	}
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
 	p.endChecks.Inc(1)
--- a/upstream/reference_test.go
+++ b/upstream/reference_test.go
@@ -53,20 +53,31 @@
 func answerOf(t *testing.T, p *Pool, s *backend.Server, id string) Liveness {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	resp := p.answer(ctx, t, s, id)
+	_, err := io.ReadAll(resp)
+	assert.NilError(t, err)
+	liveness, _ := p.LivedOn(ctx, resp, s, anyProbe(s))
+	return liveness
+}
+
+// answer sends a request and returns the response, whose end is watched.
+func (p *Pool) answer(ctx context.Context, t *testing.T, s *backend.Server, id string) *Response {
 	c, err := p.Connect(ctx, s, Use{MaxIdle: time.Hour})
 	assert.NilError(t, err)
 	p.PrepareEnd(ctx, s, c)
 	resp, err := p.Do(ctx, c, request(id), 0)
 	assert.NilError(t, err)
 	p.WatchEnd(ctx, resp, s)
-	_, err = io.ReadAll(resp)
-	assert.NilError(t, err)
-	liveness, _ := p.LivedOn(ctx, resp, s, Probe{
+	return resp
+}
+
+// anyProbe returns a probe whose responses name no process.
+func anyProbe(s *backend.Server) Probe {
+	return Probe{
 		Target: "/probe", Host: s.Addr,
 		Attribute: func(http.Header) Attribution { return Own },
 		Identify:  func(int, http.Header, []byte) Identity { return Unidentified },
-	})
-	return liveness
+	}
 }
 
 func TestAnswersThatEndTogetherShareTheEvidence(t *testing.T) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -111,6 +111,8 @@
 	// returns false if the context has already ended.
 	stopCancel func() bool
 	ended      bool
+	// pauses tells how long the body was not read.
+	pauses readPauses
 	// held closes the connection of a body that has ended with it.
 	held *time.Timer
 	// provenOpen is a time after the request was sent at which the connection is known to have been open, or nil.
@@ -362,6 +364,7 @@
 		return n, nil
 	}
 	n, err := resp.parsed.Body.Read(p)
+	resp.pauses.recordRead(n, time.Now())
 	if n > 0 && resp.conn.Via == "" {
 		resp.conn.pool.connector.Received()
 	}
