Check the bytes of heads on connections of net/http clients

Cause: the Transport of httpcheck saw parsed heads, in which folded lines are joined and a length beside a transfer coding is dropped. Evidence: TestTransportChecksTheBytesOfHeads and TestTransportChecksEachResponseOfAConnection fail with a Transport that doesn't wrap its connections. Change: NewTransport wraps the connections of an http.Transport; the bytes read from the moment at which a request gets its connection up to the end of the final head are checked. All clients use it. On TLS only what is parsed is checked.

--- a/bench/load.go
+++ b/bench/load.go
@@ -25,9 +25,7 @@
 	terminalEvent     = "data: [DONE]"
 )
 
-var client = &http.Client{Transport: &httpcheck.Transport{
-	Base: &http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns},
-}}
+var client = &http.Client{Transport: httpcheck.NewTransport(&http.Transport{MaxIdleConns: maxIdleConns, MaxIdleConnsPerHost: maxIdleConns})}
 
 var errIncomplete = errors.New("response ends without the event [DONE]")
 
--- a/ctl/client/caller.go
+++ b/ctl/client/caller.go
@@ -61,11 +61,11 @@
 // by their context, and connecting by dialTimeout. It keeps up to
 // maxIdleConnsPerHost idle connections to each host.
 func NewHTTPClient(dialTimeout time.Duration, maxIdleConnsPerHost int) *http.Client {
-	return &http.Client{Transport: &httpcheck.Transport{Base: &http.Transport{
+	return &http.Client{Transport: httpcheck.NewTransport(&http.Transport{
 		DialContext:         dialContext(dialTimeout),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		DisableCompression:  true,
-	}}}
+	})}
 }
 
 // Call sends one request and returns the response once its headers have arrived.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -83,14 +83,14 @@
 // connection and is sent exactly once.
 func newHTTPClient(dial dialFunc, keepAlive bool) *http.Client {
 	return &http.Client{
-		Transport: &httpcheck.Transport{Base: &http.Transport{
+		Transport: httpcheck.NewTransport(&http.Transport{
 			DialContext:            dial,
 			DisableKeepAlives:      !keepAlive,
 			MaxIdleConnsPerHost:    maxIdlePerServer,
 			IdleConnTimeout:        idleTimeout,
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
 			DisableCompression:     true,
-		}},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/dispatch/malformed_test.go
+++ b/dispatch/malformed_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jacinththread/jacinththread/membership"
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 )
 
@@ -44,19 +45,24 @@
 	c.SetLinger(0)
 }
 
+func malformed(c *Client) metrics.Counter { return c.malformed }
+
+func endsUnknown(c *Client) metrics.Counter { return c.endsUnknown }
+
 // It guards against malformed answers, and parts of answers, that callers get as complete ones.
 func TestAnswersThatAreNotCertainlyWholeAreIncomplete(t *testing.T) {
 	for name, test := range map[string]struct {
 		response string
 		end      func(*net.TCPConn)
+		counted  func(*Client) metrics.Counter
 	}{
-		"status 000":            {"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", closes},
-		"status 600":            {"HTTP/1.1 600 Large\r\nContent-Length: 0\r\n\r\n", closes},
-		"blank in a name":       {"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 4\r\n\r\npart", closes},
-		"blank behind a length": {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\npart", closes},
-		"no length":             {"HTTP/1.1 200 OK\r\n\r\npart", closes},
-		"no length, reset":      {"HTTP/1.1 200 OK\r\n\r\npart", resets},
-		"error without length":  {"HTTP/1.1 400 Bad Request\r\n\r\npart", closes},
+		"status 000":            {"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", closes, malformed},
+		"status 600":            {"HTTP/1.1 600 Large\r\nContent-Length: 0\r\n\r\n", closes, malformed},
+		"blank in a name":       {"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 4\r\n\r\npart", closes, malformed},
+		"blank behind a length": {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\npart", closes, malformed},
+		"no length":             {"HTTP/1.1 200 OK\r\n\r\npart", closes, endsUnknown},
+		"no length, reset":      {"HTTP/1.1 200 OK\r\n\r\npart", resets, nil},
+		"error without length":  {"HTTP/1.1 400 Bad Request\r\n\r\npart", closes, endsUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			srv := serveBytes(t, test.response, test.end)
@@ -64,8 +70,12 @@
 				for _, once := range []bool{false, true} {
 					call := chat("")
 					call.Body, call.Once = bytes.Repeat([]byte("x"), size), once
-					resp, err := newClient().Do(t.Context(), srv, call)
+					client := newClient()
+					resp, err := client.Do(t.Context(), srv, call)
 					assert.ErrorIs(t, err, ErrIncomplete, "%v", resp)
+					if size == 2 && test.counted != nil {
+						assert.Equal(t, test.counted(client).Count(), int64(1), "%v", err)
+					}
 				}
 			}
 			_, err := newClient().OpenStream(t.Context(), srv, chat(`{"stream":true}`), 0)
--- a/httpcheck/transport.go
+++ b/httpcheck/transport.go
@@ -13,15 +13,18 @@
 var ErrEndUnknown = fmt.Errorf("answer without a length ended with its connection: %w", io.ErrUnexpectedEOF)
 
 // Transport is an http.RoundTripper that fails on malformed responses, with ErrMalformed, and whose bodies end with io.EOF
-// only if they are certainly whole. It sees what net/http has parsed: a line that is folded and a length beside a transfer
-// coding pass, as net/http understands them.
+// only if they are certainly whole. On connections that NewTransport has wrapped, the bytes of each head are checked. On
+// others, such as those with TLS, only what net/http has parsed is: a line that is folded and a length beside a transfer
+// coding pass there.
 type Transport struct {
 	Base http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{Got1xxResponse: checkInformational})
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: expectHead, Got1xxResponse: checkInformational,
+	})
 	res, err := t.Base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
--- a/httpcheck/transport_test.go
+++ b/httpcheck/transport_test.go
@@ -39,8 +39,12 @@
 // fetch returns the body of a response, read through a Transport.
 func fetch(t *testing.T, method, url string) (string, error) {
 	t.Helper()
-	base := &http.Transport{DisableKeepAlives: true}
-	client := &http.Client{Transport: &Transport{Base: base}, Timeout: 5 * time.Second}
+	return fetchWith(t, NewTransport(&http.Transport{DisableKeepAlives: true}), method, url)
+}
+
+func fetchWith(t *testing.T, transport *Transport, method, url string) (string, error) {
+	t.Helper()
+	client := &http.Client{Transport: transport, Timeout: 5 * time.Second}
 	req, err := http.NewRequest(method, url, nil)
 	assert.NilError(t, err)
 	res, err := client.Do(req)
@@ -64,10 +68,65 @@
 		"HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 6\r\n\r\nanswer":                            BadFieldName,
 		"HTTP/1.1 103 Early Hints\r\nLi nk: a\r\n\r\n" + sound:                                    BadFieldName,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\nA b: c\r\n\r\n": BadTrailer,
+	} {
+		for _, transport := range []*Transport{
+			{Base: &http.Transport{DisableKeepAlives: true}},
+			NewTransport(&http.Transport{DisableKeepAlives: true}),
+		} {
+			body, err := fetchWith(t, transport, http.MethodGet, serve(t, response))
+			assert.ErrorIs(t, err, ErrMalformed, "%q gave %q", response, body)
+			assert.Equal(t, CauseOf(err), cause, "%q", response)
+		}
+	}
+}
+
+// It guards against malformed lines that net/http joins or drops.
+func TestTransportChecksTheBytesOfHeads(t *testing.T) {
+	for response, cause := range map[string]Cause{
+		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 6\r\n\r\nanswer":                                   FoldedLine,
+		"HTTP/1.1 103 Early Hints\r\nLink:\r\n a\r\n\r\n" + sound:                                            FoldedLine,
+		"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n": BadFraming,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n":                      BadFraming,
+		"HTTP/1.1 200 O\x01K\r\nContent-Length: 6\r\n\r\nanswer":                                             BadStatusLine,
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 2*maxHeadBytes) + "\r\nContent-Length: 0\r\n\r\n":     LongHead,
 	} {
 		body, err := fetch(t, http.MethodGet, serve(t, response))
-		assert.ErrorIs(t, err, ErrMalformed, "%q gave %q", response, body)
-		assert.Equal(t, CauseOf(err), cause, "%q", response)
+		assert.ErrorIs(t, err, ErrMalformed, "%.80q gave %q", response, body)
+		assert.Equal(t, CauseOf(err), cause, "%.80q", response)
+	}
+}
+
+// It guards against heads that are checked only on new connections.
+func TestTransportChecksEachResponseOfAConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	responses := []string{sound, sound, "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 6\r\n\r\nanswer"}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		l.Close()
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for _, response := range responses {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, response)
+		}
+		r.ReadByte()
+	}()
+	transport := NewTransport(&http.Transport{})
+	for i := range responses {
+		body, err := fetchWith(t, transport, http.MethodPost, "http://"+l.Addr().String())
+		if i < len(responses)-1 {
+			assert.NilError(t, err)
+			assert.Equal(t, body, "answer")
+			continue
+		}
+		assert.ErrorIs(t, err, ErrMalformed, "%q", body)
 	}
 }
 
--- a/store/httpstore/client.go
+++ b/store/httpstore/client.go
@@ -80,11 +80,11 @@
 		base:      base,
 		timeout:   timeout,
 		watchWait: defaultWatchWait,
-		http: &http.Client{Transport: &httpcheck.Transport{Base: &http.Transport{
+		http: &http.Client{Transport: httpcheck.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		}}},
+		})},
 	}
 	c.register(metrics.NewRegistry())
 	for _, o := range options {
