--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -284,6 +284,7 @@
 		for {
 			c, err := l.Accept()
 			if err != nil {
+				awaitRefusal(l.Addr().String())
 				closeAll(conns)
 				return
 			}
@@ -293,6 +294,17 @@
 	}()
 }
 
+// awaitRefusal waits until connections to an address are refused. A listener may still accept some while it is closed.
+func awaitRefusal(addr string) {
+	for {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		c.Close()
+	}
+}
+
 func closeAll(conns []net.Conn) {
 	for _, c := range conns {
 		c.Close()
--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -35,7 +35,7 @@
 	inUse bool
 	// askedAt is when a probe was last sent that got a response, askedOpened when its connection was opened.
 	askedAt, askedOpened time.Time
-	// failedAt is when the connection could last not be opened, brokeAt when one was last found broken.
+	// failedAt is when the connection could last not be opened or used, brokeAt when one was last found broken.
 	failedAt, brokeAt time.Time
 
 	// usedAt and users are guarded by the mutex of the pool. users is the number of responses that arrive now and may need
@@ -167,10 +167,14 @@
 	r.conn = nil
 }
 
-// dropBroken is like drop for a connection that the server or the path has ended.
+// dropBroken is like drop for a connection that the server or the path has ended. A server that ends a connection soon after
+// it was opened has too many.
 func (r *reference) dropBroken() {
-	r.drop()
 	r.brokeAt = time.Now()
+	if r.brokeAt.Sub(r.conn.openedAt) < failedPause {
+		r.failedAt = r.brokeAt
+	}
+	r.drop()
 }
 
 var (
--- a/upstream/reference_test.go
+++ b/upstream/reference_test.go
@@ -133,3 +133,19 @@
 	assert.Equal(t, p.openReference(t.Context(), s, c), idle.openedAt)
 	assert.Equal(t, len(p.idle[c.idleKey()]), 0)
 }
+
+// It guards against a new connection for each request to a server that resets those beyond its bound.
+func TestServerThatResetsReferencesIsNotAskedForOneEachTime(t *testing.T) {
+	var conns atomic.Int64
+	s := serve(t, func(c net.Conn, _ *bufio.Reader) {
+		conns.Add(1)
+		c.(*net.TCPConn).SetLinger(0)
+	})
+	p := newPool()
+	c := p.newConn(s, Link{})
+	for range 10 {
+		p.openReference(t.Context(), s, c)
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, conns.Load() <= 2, "%d connections", conns.Load())
+}
