Let exactly one of two runs of a stream be ended

Cause, by reading: if the second server's first event came at the moment at which its time ran out, its run was ended although the silent one was given up for it. Change: whichever comes first decides. The moment itself isn't played by a test.

--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -126,12 +126,13 @@
 	span.SetAttributes(attribute.String("server", inFlight.Server.ID))
 	next := &takeover{attemptResult: q.send(exchange, inFlight), span: span}
 	if next.response != nil {
+		var decided atomic.Bool // Which of the two runs is ended.
 		next.err = q.awaitFirstEvent(next.attemptResult, func() {
-			if !silent.ended.Load() {
+			if !silent.ended.Load() && decided.CompareAndSwap(false, true) {
 				cancel(errIncompleteEvent)
 			}
 		})
-		if next.err == nil && release() {
+		if next.err == nil && decided.CompareAndSwap(false, true) && release() {
 			return next, true
 		}
 		next.response.Close()
