Accept a first answer whose server says its ID and keeps its record

A short answer without a length to the first request to a service was refused if the server could start again under its ID and its health checks don't say when it started: no earlier connection was there, and an ID alone names no process. Callers of requests that may not be repeated got 502 for a whole answer.

Such an answer counts as whole now if a process with the server's ID responds after the end, and the catalog, as of a time after that, has the record of the process that sent the answer. A process that started again has a record of its own.

--- a/forward/ends.go
+++ b/forward/ends.go
@@ -7,9 +7,11 @@
 	"io"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/upstream"
 )
 
@@ -24,12 +26,15 @@
 	endConnection endEvidence = "connection"
 	// endIdentity: it ended with its connection, and its process responded afterwards and said which it is.
 	endIdentity endEvidence = "identity"
+	// endRecord: it ended with its connection, a process with the server's ID responded afterwards, and the catalog, as of
+	// a later time, has the record of the process that sent it.
+	endRecord endEvidence = "record"
 	// endNone: it ended with its connection, and nothing shows that its process lived on. It isn't whole.
 	endNone endEvidence = "none"
 )
 
 // endEvidences lists all evidence, each of which has a counter.
-var endEvidences = []endEvidence{endFramed, endConnection, endIdentity, endNone}
+var endEvidences = []endEvidence{endFramed, endConnection, endIdentity, endRecord, endNone}
 
 // connEnd is how the connection to a server was at the end of a body.
 type connEnd string
@@ -85,11 +90,13 @@
 	server := res.inFlight.Server
 	probe := q.cfg.HeaderCodec.Probe(server, q.table.Service(q.service))
 	liveness, err := q.cfg.Pool.LivedOn(ctx, res.response, server, probe)
-	switch liveness {
-	case upstream.ByConnection:
+	switch {
+	case liveness == upstream.ByConnection:
 		q.endBody(connClosed, endConnection)
-	case upstream.ByIdentity:
+	case liveness == upstream.ByIdentity:
 		q.endBody(connClosed, endIdentity)
+	case liveness == upstream.ByID && q.keepsRecord(ctx, server.Instance()):
+		q.endBody(connClosed, endRecord)
 	default:
 		q.endBody(connClosed, endNone)
 		return fmt.Errorf("%w (%v)", errServerEnd, err)
@@ -97,6 +104,36 @@
 	return nil
 }
 
+const (
+	// recordTimeout bounds the wait until the catalog is known as of now.
+	recordTimeout = 1500 * time.Millisecond
+	// recordPoll is the time between two looks at the catalog.
+	recordPoll = 20 * time.Millisecond
+)
+
+// keepsRecord reports whether the catalog, as of a time after now, has the record of a process, and not that of another one
+// with its ID.
+func (q *request) keepsRecord(ctx context.Context, server backend.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	poll := time.NewTicker(recordPoll)
+	defer poll.Stop()
+	for asked := time.Now(); !q.catalogAsOf().After(asked); {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return q.cfg.Catalog.Known(server)
+}
+
+// catalogAsOf returns the time as of which the catalog is known.
+func (q *request) catalogAsOf() time.Time {
+	_, age := q.cfg.CatalogFreshness()
+	return time.Now().Add(-age)
+}
+
 // endBody records that the end of a body was reached, and what tells whether it is whole.
 func (q *request) endBody(conn connEnd, evidence endEvidence) {
 	q.end.conn, q.end.evidence = conn, evidence
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -108,8 +108,10 @@
 		Identify: func(status int, h http.Header, _ []byte) upstream.Identity {
 			started := strconv.FormatInt(s.Started, 10)
 			switch {
-			case h.Get("Server-Id") == "" || h.Get("Started") == "":
+			case h.Get("Server-Id") == "":
 				return upstream.Unidentified
+			case h.Get("Server-Id") == s.ID && h.Get("Started") == "":
+				return upstream.SameID
 			case h.Get("Server-Id") == s.ID && h.Get("Started") == started:
 				return upstream.SameProcess
 			}
@@ -145,6 +147,8 @@
 	tracer  trace.Tracer
 	log     *log.Logger
 	origins knownOrigins
+	// catalogAge is how long ago the catalog was last current.
+	catalogAge time.Duration
 	// dialNow replaces dial while requests run, for tests that set it.
 	dialNow atomic.Pointer[func(context.Context, string) (net.Conn, error)]
 	// dial opens direct connections to servers, tunnels those through other daemons.
@@ -176,7 +180,7 @@
 
 func newDeployment(t *testing.T, routes ...route.Route) *deployment {
 	t.Helper()
-	d := &deployment{t: t, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer(""), log: log.New(io.Discard), dial: upstream.Dial, tunnels: noTunnels{}}
+	d := &deployment{t: t, catalogAge: time.Second, limit: budget.Limit{Ratio: 1, Allowance: 1000, Window: 10 * time.Second}, tracer: noop.NewTracerProvider().Tracer(""), log: log.New(io.Discard), dial: upstream.Dial, tunnels: noTunnels{}}
 	d.catalog = backend.NewCatalog(log.New(io.Discard))
 	d.quarantine = quarantine.New("self", func(uint64) string { return "self" }, d.log, metrics.NewRegistry())
 	d.quarantine.MarkSynced()
@@ -200,7 +204,7 @@
 	})
 	f := New(Config{
 		Table: func() *route.Table { return d.table }, Catalog: d.catalog, Pool: pool,
-		CatalogFreshness: func() (int64, time.Duration) { return 1, time.Second },
+		CatalogFreshness: func() (int64, time.Duration) { return 1, d.catalogAge },
 		Tracker:          placement.NewTracker(1, fairshare.NewLedger(), log.New(io.Discard)), Budget: d.budget(),
 		Limits: limits, HoldOffs: holdOffs, Notices: notices, SlotShares: slotshare.New("self", func() *hashring.Ring { return hashring.New([]string{"self"}) }), Quarantine: d.quarantine, Streams: d.origins,
 		HeaderCodec: testHeaderCodec{}, Log: d.log, Metrics: registry, Tracer: d.tracer,
--- a/forward/lived_on_test.go
+++ b/forward/lived_on_test.go
@@ -26,8 +26,9 @@
 	d       *deployment
 	id      string
 	started int64
-	// names is set if it says which process it is.
+	// names is set if it says which process it is, namesID if it says its ID only.
 	names    bool
+	namesID  bool
 	listener net.Listener
 	// body is what it answers, then end is called with the connection, which is closed afterwards.
 	kind, body string
@@ -82,6 +83,8 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nServer-Id: %s\r\nStarted: %d\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", p.id, p.started)
 		case req.URL.Path == probePath && p.names:
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nServer-Id: %s\r\nStarted: %d\r\nContent-Length: 0\r\n\r\n", p.id, p.started)
+		case req.URL.Path == probePath && p.namesID:
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nServer-Id: %s\r\nContent-Length: 0\r\n\r\n", p.id)
 		case req.URL.Path == probePath:
 			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		default:
@@ -142,7 +145,7 @@
 func (p *process) replace(c net.Conn, id string, started int64) {
 	addr := p.listener.Addr().String()
 	p.stop(c)
-	next := &process{d: p.d, id: id, started: started, names: p.names, kind: p.kind, body: p.body, end: livesOn}
+	next := &process{d: p.d, id: id, started: started, names: p.names, namesID: p.namesID, kind: p.kind, body: p.body, end: livesOn}
 	next.listen(addr)
 }
 
@@ -346,3 +349,43 @@
 		})
 	}
 }
+
+// sameID lists what the record of a server may be like when only its ID tells which process answers.
+var sameID = map[string]struct {
+	end        func(*process, net.Conn)
+	catalogAge time.Duration
+	whole      bool
+}{
+	"lives on":               {livesOn, time.Millisecond, true},
+	"drains and lives on":    {func(p *process, _ net.Conn) { p.drain() }, time.Millisecond, true},
+	"started again":          {(*process).startAgain, time.Millisecond, false},
+	"lives on, old catalog":  {livesOn, time.Hour, false},
+	"record gone":            {func(p *process, _ net.Conn) { p.removeRecord() }, time.Millisecond, false},
+	"ends, the address, too": {func(p *process, c net.Conn) { p.exit(c, 0) }, time.Millisecond, false},
+}
+
+// startAgain ends the process and starts it under its ID, with a record of its own.
+func (p *process) startAgain(c net.Conn) {
+	p.replace(c, p.id, p.started+1)
+	s := p.record()
+	s.Started++
+	s.Revision++
+	p.d.put(s)
+}
+
+// It guards against whole first answers of servers that only say their ID being refused, and parts of one being passed on.
+func TestFirstAnswerOfAProcessThatSaysItsIDIsWholeByItsRecord(t *testing.T) {
+	for name, c := range sameID {
+		for kindName, kind := range answerKinds {
+			t.Run(name+"/"+kindName, func(t *testing.T) {
+				t.Parallel()
+				p := &process{namesID: true, end: c.end}
+				d := startWithProcess(t, kind, p, false)
+				d.catalogAge = c.catalogAge
+				got := d.send(http.MethodPost, kind.route.Prefix, "r")
+				whole := got.err == nil && got.status == http.StatusOK
+				assert.Equal(t, whole, c.whole, "status %d, %v", got.status, got.err)
+			})
+		}
+	}
+}
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -47,6 +47,8 @@
 const (
 	// Unidentified processes don't say which they are.
 	Unidentified Identity = iota
+	// SameID is a process that says the ID of the server, and not when it started.
+	SameID
 	// SameProcess is the one that the record of the server describes.
 	SameProcess
 	// OtherProcess is another one.
@@ -62,11 +64,16 @@
 	NotShown Liveness = iota
 	// ByConnection: it responded on a connection that was opened before the end.
 	ByConnection
+	// ByID: a process with its ID responded on a new connection. It may have started since.
+	ByID
 	// ByIdentity: it responded on a new connection and said which process it is.
 	ByIdentity
 )
 
-var errOtherProcess = errors.New("another process listens at the server's address")
+var (
+	errOtherProcess = errors.New("another process listens at the server's address")
+	errUnidentified = errors.New("process at the server's address doesn't say which it is")
+)
 
 // LivedOn asks whether the process that sent a response lived on after its body ended with its connection, which the end
 // of a process looks like. The error tells why there is no evidence. Only the path of the response is used, because others
@@ -92,7 +99,7 @@
 		return liveness, err
 	case r.brokeWith(resp, ended):
 		return NotShown, errReferenceBroken
-	case liveness == ByIdentity:
+	case liveness != NotShown:
 		return liveness, nil
 	}
 	return p.identify(ctx, resp.conn.Via, s, probe)
@@ -121,12 +128,21 @@
 	switch {
 	case err != nil:
 		return NotShown, err
-	case identity == SameProcess:
-		return ByIdentity, nil
 	case identity == OtherProcess:
 		return NotShown, errOtherProcess
+	}
+	return livenessBy(identity)
+}
+
+// livenessBy returns the evidence that a response on a new connection is.
+func livenessBy(identity Identity) (Liveness, error) {
+	switch identity {
+	case SameProcess:
+		return ByIdentity, nil
+	case SameID:
+		return ByID, nil
 	default:
-		return NotShown, errors.New("process at the server's address doesn't say which it is")
+		return NotShown, errUnidentified
 	}
 }
 
--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -207,13 +207,10 @@
 	if err := r.endUse(ctx, sent, identity, err); err != nil {
 		return NotShown, err
 	}
-	switch {
-	case c.openedAt.Before(resp.openAt()):
+	if c.openedAt.Before(resp.openAt()) {
 		return ByConnection, nil
-	case identity == SameProcess:
-		return ByIdentity, nil
 	}
-	return NotShown, errNoReference
+	return livenessBy(identity)
 }
 
 // hasEvidence reports whether a probe that was sent later than a given time is evidence for a response as well.
