Close less urgent requests earlier while a class of the service is refused

A service in which any class is refused for want of room now counts as strained: less urgent classes close at shorter waits, wait at most as long as more urgent ones, and up to a fifth of the slots that they hold count as free for more urgent requests. Refusals in favour of more urgent requests don't count, so that a service can't stay closed by itself; answers that come too late count only at a busy server or in a strained service, because crashes and lost answers closed the least urgent class before.

--- a/forward/choose.go
+++ b/forward/choose.go
@@ -106,7 +106,7 @@
 		"route", q.route.Name, "urgency", q.urgency, "target_ms", q.route.Target.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"server", r.Seen.Chosen, "running", r.Seen.Running, "as_urgent", r.Seen.AtLeastAsUrgent, "memory_tokens", r.Seen.MemoryTokens,
 		"memory_as_urgent", r.Seen.MemoryAhead, "would_accept", r.Seen.WouldAccept)
-	q.unserved = true
+	q.unserved, q.held = true, r.Reason == placement.MoreUrgentUnserved
 	if ctx.Err() != nil {
 		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
 		return
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -20,20 +20,21 @@
 	}
 }
 
-// lateWaitShare is the share of its latency target that a request was expected to wait at least, if it counts as one
-// that its server had no time for. Answers are also lost for other reasons.
-const lateWaitShare = 0.25
-
 // recordUnserved records a request that got nothing because servers had no room for it in time: it was refused for
 // that, or a busy server didn't begin to answer before the caller left or the time was over.
 func (q *request) recordUnserved() {
 	if len(q.meta.Prompt) == 0 || !q.firstByteAt.IsZero() {
 		return
 	}
-	ended := (q.outcome == left || q.outcome == unknown) && q.crashes == 0 && time.Since(q.in.Arrived) > q.route.Target
-	busy := q.sends > 0 && q.estimate.Wait > time.Duration(lateWaitShare*float64(q.route.Target))
-	if q.unserved || ended && busy {
-		q.cfg.Tracker.RecordUnserved(time.Now(), q.placementRequest())
+	late := (q.outcome == left || q.outcome == unknown) && q.sends > 0 && q.crashes == 0 && time.Since(q.in.Arrived) > q.route.Target
+	now, req := time.Now(), q.placementRequest()
+	switch {
+	case q.held:
+		q.cfg.Tracker.RecordHeld(now, req)
+	case q.unserved:
+		q.cfg.Tracker.RecordUnserved(now, req)
+	case late:
+		q.cfg.Tracker.RecordLate(now, req, q.estimate.Wait)
 	}
 }
 
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -125,12 +125,28 @@
 // accepts reports whether the expected wait and the memory of the server allow
 // the request to be sent to it.
 func (c *Candidate) accepts(req *Request) bool {
-	if req.MaxWait > 0 && c.expectedWait() > req.MaxWait {
+	if longest := req.longestWait(); longest > 0 && c.expectedWait() > longest {
 		return false
 	}
 	return c.acceptsMoreUrgent(req) && c.fitsMemory(req)
 }
 
+// longestWait returns how long the request may wait for the prompts ahead of it; zero means no bound. While requests of
+// the service get nothing, it is at most that of each more urgent class, whose prompts the server may read after those
+// that it has begun.
+func (r *Request) longestWait() time.Duration {
+	longest := r.MaxWait
+	if longest == 0 || !r.strained {
+		return longest
+	}
+	for _, class := range r.moreUrgent() {
+		if w := MaxWait(class.Target, class.Priority); w > 0 {
+			longest = min(longest, w)
+		}
+	}
+	return longest
+}
+
 // acceptsMoreUrgent reports whether the expected wait allows all requests to be sent to the server that are more urgent
 // than a request. Their objectives may be shorter, so that they are refused behind fewer prompts.
 func (c *Candidate) acceptsMoreUrgent(req *Request) bool {
--- a/placement/order.go
+++ b/placement/order.go
@@ -23,6 +23,13 @@
 	// half of their longest wait, between which the share of less urgent requests that is accepted decreases to zero.
 	openPressure   = 0.25
 	closedPressure = 0.6
+	// openStrained and closedStrained are the mean waits of a class at the servers, relative to its longest wait, between
+	// which that share decreases to zero while any class of the service gets nothing for want of room.
+	openStrained   = 0.1
+	closedStrained = 0.4
+	// lateWaitShare is the share of its latency objective that a request was expected to wait, from which its server
+	// counts as busy.
+	lateWaitShare = 0.25
 	// minUnserved is the number of requests that got nothing lately below which a class counts as served.
 	minUnserved = 2.0
 	// minClosedRetry and maxClosedRetry bound the retry delay of requests that are refused in favour of more urgent
@@ -56,10 +63,40 @@
 	for _, class := range req.moreUrgent() {
 		o := t.turnouts.fleet(fairshare.Class{Service: req.Service, Urgency: int32(class.Urgency)}, now)
 		open = min(open, ramp(o.unservedShare(), openUnserved, closedUnserved), ramp(pressure(candidates, class), openPressure, closedPressure))
+		if req.strained {
+			open = min(open, ramp(meanPressure(candidates, class), openStrained, closedStrained))
+		}
 	}
 	return open
 }
 
+// isStrained reports whether a class of the service of a request gets nothing for want of room. The caller must hold
+// t.mu.
+func (t *Tracker) isStrained(now time.Time, req *Request) bool {
+	for _, class := range req.Classes {
+		if t.turnouts.fleet(fairshare.Class{Service: req.Service, Urgency: int32(class.Urgency)}, now).isStrained() {
+			return true
+		}
+	}
+	return false
+}
+
+// meanPressure returns the mean time that requests of a class would wait at the servers, relative to their longest wait.
+func meanPressure(candidates []Candidate, class route.Class) float64 {
+	longest := MaxWait(class.Target, class.Priority)
+	if longest == 0 {
+		return 0
+	}
+	wait, n := 0.0, 0.0
+	for i := range candidates {
+		if !candidates[i].Suspended {
+			wait += candidates[i].waitOf(class.Urgency).Seconds()
+			n++
+		}
+	}
+	return wait / max(1, n) / longest.Seconds()
+}
+
 // ramp decreases steadily from 1 at open to 0 at closed.
 func ramp(x, open, closed float64) float64 { return min(1, max(0, (closed-x)/(closed-open))) }
 
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -218,3 +218,22 @@
 	turnoutOf(tracker, now, urgent, 30, 3)
 	assert.Equal(t, openAt(tracker, now, less), 0.0)
 }
+
+// TestHeldRequestsKeepNoServiceStrained guards against a service that stays closed because of the requests that it refuses for that.
+func TestHeldRequestsKeepNoServiceStrained(t *testing.T) {
+	tracker := newTracker(1)
+	urgent, less := requestOf(orderedClasses(), 0, 100), requestOf(orderedClasses(), 1, 300)
+	strained := func() bool { return tracker.isStrained(now, &urgent) }
+	turnoutOf(tracker, now, less, 30, 0)
+	for range 20 {
+		tracker.RecordHeld(now, less)
+	}
+	assert.Assert(t, !strained())
+	tracker.RecordLate(now, urgent, 0)
+	assert.Equal(t, tracker.turnouts.local[urgent.class()].unserved, 0.0, "an answer that was lost otherwise")
+	tracker.RecordLate(now, urgent, time.Second)
+	assert.Assert(t, tracker.turnouts.local[urgent.class()].unserved > 0.9, "the server was busy")
+	assert.Assert(t, !strained())
+	turnoutOf(tracker, now, less, 0, 5)
+	assert.Assert(t, strained())
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -61,6 +61,8 @@
 	Urgency int
 	// Classes lists the requests that the service may get, the most urgent first. It is not modified.
 	Classes []route.Class
+	// strained is set while requests of the service get nothing for want of room.
+	strained bool
 	// Domain is the failure domain of the local daemon.
 	Domain string
 	// Service is the service of the servers and Customer who sent the request; empty if it isn't known.
--- a/placement/room.go
+++ b/placement/room.go
@@ -32,11 +32,30 @@
 	return t.shares.IsOverShare(now, req.class(), req.Customer)
 }
 
+// RecordLate records that a request that was offered and sent got nothing within its objective, though its server was
+// expected to need the given time for the prompts ahead of it. Answers are also lost for other reasons, so it counts only
+// if the server was busy or others get nothing for want of room.
+func (t *Tracker) RecordLate(now time.Time, req Request, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if wait > time.Duration(lateWaitShare*float64(req.Target)) || t.isStrained(now, &req) {
+		t.turnouts.record(req.class(), turnout{unserved: 1, held: 1, updatedAt: now})
+	}
+}
+
+// RecordHeld records that a request that was offered was refused in favour of more urgent ones.
+func (t *Tracker) RecordHeld(now time.Time, req Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turnouts.record(req.class(), turnout{unserved: 1, held: 1, updatedAt: now})
+}
+
 // Pace returns how quickly slots of servers become free for requests of the local daemon that are like the given
 // one. Each daemon takes its part of the slots that requests of all daemons leave.
 func (t *Tracker) Pace(now time.Time, servers []*backend.Server, req Request) admission.Pace {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	req.strained = t.isStrained(now, &req)
 	candidates := t.candidates(now, servers, req)
 	running := 0.0
 	for i := range candidates {
--- a/placement/sim_fleet_test.go
+++ b/placement/sim_fleet_test.go
@@ -391,7 +391,7 @@
 	if refusal != nil {
 		mayWait := refusal.Reason == SlotsUsed || refusal.Reason == MoreUrgentUnserved
 		if !mayWait || !f.enqueue(call) {
-			f.refuse(call, refusal.RetryAfter)
+			f.refuseFor(call, refusal)
 		}
 		return
 	}
@@ -486,6 +486,21 @@
 // refuse ends a request, or makes its caller come back once.
 func (f *simFleet) refuse(call *simCall, retryAfter time.Duration) {
 	f.daemons.tracker(call.daemon).RecordUnserved(f.clock(), call.req)
+	f.sendBack(call, retryAfter)
+}
+
+// refuseFor ends a request that wasn't accepted, or makes its caller come back once.
+func (f *simFleet) refuseFor(call *simCall, r *Refusal) {
+	if r.Reason != MoreUrgentUnserved {
+		f.refuse(call, r.RetryAfter)
+		return
+	}
+	f.daemons.tracker(call.daemon).RecordHeld(f.clock(), call.req)
+	f.sendBack(call, r.RetryAfter)
+}
+
+// sendBack makes a caller come back once, or ends its request.
+func (f *simFleet) sendBack(call *simCall, retryAfter time.Duration) {
 	c := &f.load.classes[call.class]
 	left := call.arrived + c.deadline - f.now
 	if call.returned || left <= 0 {
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -23,6 +23,9 @@
 	// From yieldOccupancy of the slots in use by a class, fewer less urgent requests are accepted, and none from
 	// openOccupancy on, when requests of the class itself begin to be refused.
 	yieldOccupancy = 0.6
+	// maxYielded is the most that slots in use by less urgent requests count as free, because servers preempt these,
+	// while requests get nothing for want of room.
+	maxYielded = 0.2
 	// maxOccupancy is the number of requests at a server, relative to its slots, above which it
 	// gets no more while others have fewer.
 	maxOccupancy = 1.5
@@ -107,7 +110,12 @@
 // acceptedShare returns the share of the requests of this urgency that is accepted. It is zero before any request of a
 // more urgent class of the service is refused.
 func acceptedShare(candidates []Candidate, req *Request) float64 {
-	share := freeShare(poolUse(candidates, req.Tight, func(c *Candidate) float64 { return c.AtLeastAsUrgent }))
+	use := poolUse(candidates, req.Tight, func(c *Candidate) float64 { return c.AtLeastAsUrgent })
+	if req.strained {
+		others := poolUse(candidates, req.Tight, func(c *Candidate) float64 { return c.Running - c.AtLeastAsUrgent })
+		use -= min(others, maxYielded)
+	}
+	share := freeShare(use)
 	for _, class := range req.moreUrgent() {
 		if MaxWait(class.Target, class.Priority) == 0 {
 			continue
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -117,6 +117,7 @@
 	candidates := all
 	jitter := Jitter{Each: minJitterTokens}
 	if len(req.Prompt) > 0 {
+		req.strained = t.isStrained(now, &req)
 		contenders := 1
 		scarce := slotsScarce(candidates)
 		if scarce {
--- a/placement/turnout.go
+++ b/placement/turnout.go
@@ -23,9 +23,10 @@
 
 // turnout counts requests of a class, with exponential decay.
 type turnout struct {
-	// offered counts all requests, unserved those that got nothing.
-	offered, unserved float64
-	updatedAt         time.Time
+	// offered counts all requests, unserved those that got nothing, held those of them that don't tell of a want of room
+	// by themselves: they were refused in favour of more urgent ones, or came too late.
+	offered, unserved, held float64
+	updatedAt               time.Time
 }
 
 // at returns the turnout decayed to a time.
@@ -34,6 +35,7 @@
 		factor := math.Exp2(-float64(age) / float64(turnoutHalfLife))
 		o.offered *= factor
 		o.unserved *= factor
+		o.held *= factor
 		o.updatedAt = now
 	}
 	return o
@@ -44,6 +46,7 @@
 	sum, other := o.at(now), other.at(now)
 	sum.offered += other.offered
 	sum.unserved += other.unserved
+	sum.held += other.held
 	return sum
 }
 
@@ -52,6 +55,7 @@
 	left, part := o.at(now), part.at(now)
 	left.offered = max(0, left.offered-part.offered)
 	left.unserved = max(0, left.unserved-part.unserved)
+	left.held = max(0, left.held-part.held)
 	return left
 }
 
@@ -63,6 +67,12 @@
 	return o.unserved / max(o.offered, o.unserved)
 }
 
+// isStrained reports whether requests were refused for want of room, whatever the more urgent ones got.
+func (o turnout) isStrained() bool {
+	o.unserved -= o.held
+	return o.unservedShare() > closedUnserved
+}
+
 func (o turnout) isNegligible() bool {
 	return o.offered < negligibleTurnout && o.unserved < negligibleTurnout
 }
@@ -70,13 +80,13 @@
 // classTurnout is the turnout of a class at one daemon, or at all, as daemons send it to each other, decayed to the time
 // at which it was sent. The numbers are in thousandths of a request.
 type classTurnout struct {
-	Class             fairshare.Class
-	Offered, Unserved int64
+	Class                   fairshare.Class
+	Offered, Unserved, Held int64
 }
 
 // encodeTurnout returns the message of a turnout.
 func encodeTurnout(class fairshare.Class, o turnout) classTurnout {
-	return classTurnout{Class: class, Offered: int64(turnoutUnit * o.offered), Unserved: int64(turnoutUnit * o.unserved)}
+	return classTurnout{Class: class, Offered: int64(turnoutUnit * o.offered), Unserved: int64(turnoutUnit * o.unserved), Held: int64(turnoutUnit * o.held)}
 }
 
 // decode returns the turnout of a message that was received at a time. Negative numbers count as zero.
@@ -84,6 +94,7 @@
 	return turnout{
 		offered:   max(0, float64(m.Offered)/turnoutUnit),
 		unserved:  max(0, float64(m.Unserved)/turnoutUnit),
+		held:      max(0, float64(m.Held)/turnoutUnit),
 		updatedAt: receivedAt,
 	}
 }
