--- a/placement/order.go
+++ b/placement/order.go
@@ -62,14 +62,32 @@
 	open := 1.0
 	for _, class := range req.moreUrgent() {
 		o := t.turnouts.fleet(fairshare.Class{Service: req.Service, Urgency: int32(class.Urgency)}, now)
-		open = min(open, ramp(o.unservedShare(), openUnserved, closedUnserved), ramp(pressure(candidates, class), openPressure, closedPressure))
+		open = min(open, req.staged(class, o.unservedShare(), openUnserved, closedUnserved))
+		open = min(open, req.staged(class, pressure(candidates, class), openPressure, closedPressure))
 		if req.strained {
-			open = min(open, ramp(meanPressure(candidates, class), openStrained, closedStrained))
+			open = min(open, req.staged(class, meanPressure(candidates, class), openStrained, closedStrained))
 		}
 	}
 	return open
 }
 
+// staged decreases from 1 to 0 while a measure of a more urgent class grows from open to closed. The classes below that
+// one take their turns: the least urgent is closed first, and before the next one begins to be.
+func (r *Request) staged(class route.Class, x, open, closed float64) float64 {
+	below, lessUrgent := 0.0, 0.0
+	for _, c := range r.Classes {
+		if c.Urgency > class.Urgency {
+			below++
+		}
+		if c.Urgency > r.Urgency {
+			lessUrgent++
+		}
+	}
+	step := (closed - open) / max(1, below)
+	from := open + lessUrgent*step
+	return ramp(x, from, from+step)
+}
+
 // isStrained reports whether a class of the service of a request gets nothing for want of room. The caller must hold
 // t.mu.
 func (t *Tracker) isStrained(now time.Time, req *Request) bool {
--- a/placement/order_sim_test.go
+++ b/placement/order_sim_test.go
@@ -149,7 +149,7 @@
 
 // lastingOverloads are loads that outlast the leaving of servers.
 func lastingOverloads() map[string]simLoad {
-	loads := map[string]simLoad{"7 daemons": shrunkFleet(7, 18), "40 daemons": shrunkFleet(40, 54)}
+	loads := map[string]simLoad{"2 daemons": shrunkFleet(2, 18), "7 daemons": shrunkFleet(7, 18), "40 daemons": shrunkFleet(40, 54)}
 	loads["burst of drafts"] = burstOf(drafts)
 	loads["burst of reviews"] = burstOf(reviews)
 	few := shrunkFleet(3, 6)
@@ -173,7 +173,7 @@
 	for i := range 15 {
 		gradual.leaves = append(gradual.leaves, simLeave{at: time.Duration(500+500*i) * time.Millisecond, servers: 1})
 	}
-	checkOrder(t, map[string]simLoad{"2 daemons": shrunkFleet(2, 18), "burst of queries": burstOf(queries), "servers leave one by one": gradual})
+	checkOrder(t, map[string]simLoad{"burst of queries": burstOf(queries), "servers leave one by one": gradual})
 }
 
 // checkOrder plays loads and checks the order of the classes in each window.
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -237,3 +237,14 @@
 	turnoutOf(tracker, now, less, 0, 5)
 	assert.Assert(t, strained())
 }
+
+// TestLeastUrgentClassesCloseFirst guards against a class that is refused in part in favour of a more urgent one while less urgent ones are accepted.
+func TestLeastUrgentClassesCloseFirst(t *testing.T) {
+	classes := append(orderedClasses(), route.Class{Urgency: 3, Priority: 1, Target: 2 * time.Second})
+	for i := range 100 {
+		x := float64(i) / 100
+		near, far := requestOf(classes, 1, 100), requestOf(classes, 2, 300)
+		nearShare, farShare := near.staged(classes[0], x, 0.2, 0.8), far.staged(classes[0], x, 0.2, 0.8)
+		assert.Assert(t, nearShare == 1 || farShare == 0, "at %.2f: %.2f and %.2f", x, nearShare, farShare)
+	}
+}
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		use := poolUse(candidates, class.Tight, func(c *Candidate) float64 { return c.slots.atLeast(class.Urgency) })
-		share = min(share, ramp(use, yieldOccupancy, openOccupancy))
+		share = min(share, req.staged(class, use, yieldOccupancy, openOccupancy))
 	}
 	return share
 }
