Refuse callers' requests with malformed heads

Callers could send "Content-Length : N": the entry daemon saw no length, and the body ran as a request of its own at a server. Names with a blank before the colon also hid transfer codings and reserved fields, which reached servers unchanged. A request in HTTP/1.0 with a transfer coding was passed on without its body.

Cause: heads were parsed by net/http, which accepts blanks in names, joins folded lines and ignores codings in HTTP/1.0. The check of framings looked only for contradictions.

The bytes of each request head are now checked before net/http reads them, by the code that checks heads of responses: request line, names, values, one framing, one host. Trailers of bodies in chunks are checked as well. Folded lines are rejected (RFC 9112, section 5.2). The reason in the log and the answer doesn't quote the head, which may hold a key.

--- a/httpcheck/cause.go
+++ b/httpcheck/cause.go
@@ -1,5 +1,6 @@
-// Package httpcheck checks responses by RFC 9110 and RFC 9112 where net/http is lenient. A malformed response isn't the
-// response of a sound server: its fields, its framing or its body may be other ones than those that were meant.
+// Package httpcheck checks responses and heads of requests by RFC 9110 and RFC 9112 where net/http is lenient. A malformed response isn't the
+// response of a sound server: its fields, its framing or its body may be other ones than those that were meant. A
+// malformed request may mean another request, or two, to a server.
 package httpcheck
 
 import (
@@ -7,10 +8,10 @@
 	"fmt"
 )
 
-// ErrMalformed is wrapped by all errors about malformed responses.
-var ErrMalformed = errors.New("answer is malformed")
+// ErrMalformed is wrapped by all errors about malformed responses and requests.
+var ErrMalformed = errors.New("HTTP message is malformed")
 
-// Cause is what is wrong with a malformed response.
+// Cause is what is wrong with a malformed response or request.
 type Cause uint8
 
 // Causes.
@@ -33,25 +34,31 @@
 	BadTrailer
 	// LongHead means that the head is too long or takes too much time.
 	LongHead
+	// BadRequestLine means that the first line of a request isn't one of HTTP/1.0 or HTTP/1.1.
+	BadRequestLine
+	// BadHost means that a request doesn't have exactly one host of valid form.
+	BadHost
 
 	causes
+	// responseCauses is the number of causes that responses can have.
+	responseCauses = BadRequestLine
 )
 
-var causeNames = [causes]string{"other", "status_line", "status", "field_name", "field_value", "folded_line", "framing", "trailer", "long_head"}
+var causeNames = [causes]string{"other", "status_line", "status", "field_name", "field_value", "folded_line", "framing", "trailer", "long_head", "request_line", "host"}
 
 // String returns the name of the cause in metrics.
 func (c Cause) String() string { return causeNames[c] }
 
-// Causes returns all causes.
+// Causes returns all causes of malformed responses.
 func Causes() []Cause {
-	all := make([]Cause, causes)
+	all := make([]Cause, responseCauses)
 	for i := range all {
 		all[i] = Cause(i)
 	}
 	return all
 }
 
-// Error is the error about a malformed response.
+// Error is the error about a malformed response or request.
 type Error struct {
 	Cause Cause
 	// Detail quotes what is malformed.
@@ -66,7 +73,7 @@
 // Unwrap returns ErrMalformed.
 func (e *Error) Unwrap() error { return ErrMalformed }
 
-// maxQuoted is the number of bytes of a response that are quoted in an error.
+// maxQuoted is the number of bytes of a message that are quoted in an error.
 const maxQuoted = 40
 
 func malformed(c Cause, quoted []byte) error {
--- a/httpcheck/header.go
+++ b/httpcheck/header.go
@@ -19,3 +19,12 @@
 	}
 	return nil
 }
+
+// RemoveInvalidNames removes the fields whose names aren't tokens. http.Header.Del doesn't find "Name " by "Name".
+func RemoveInvalidNames(h http.Header) {
+	for name := range h {
+		if !isToken(name) {
+			delete(h, name)
+		}
+	}
+}
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httputil"
 	"time"
+
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 // readBody reads the body of a request within the limits and returns the whole
@@ -113,8 +115,8 @@
 // at the end.
 const maxTrailerLines = 32
 
-// finishBody checks that a body of n bytes is complete. It reads and discards the
-// trailers of a chunked body.
+// finishBody checks that a body of n bytes is complete. It checks and discards
+// the trailers of a chunked body.
 func (c *conn) finishBody(head *http.Request, n int64) error {
 	if len(head.TransferEncoding) == 0 {
 		if n < head.ContentLength {
@@ -127,9 +129,13 @@
 		if err != nil {
 			return err
 		}
-		if len(bytes.TrimSpace(line)) == 0 {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
+		if len(line) == 0 {
 			return nil
 		}
+		if err := httpcheck.CheckTrailerLine(line); err != nil {
+			return malformedRequest("trailer", httpcheck.CauseOf(err).String())
+		}
 	}
 	return &statusError{http.StatusBadRequest, "request has too many trailers"}
 }
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/jacinththread/jacinththread/httpcheck"
 )
 
 // statusError is the status and reason with which a request is refused before it
@@ -20,23 +22,26 @@
 func (e *statusError) Error() string { return e.reason }
 
 // readHead reads and parses the head of a request. It refuses a request whose
-// body framing is ambiguous.
+// bytes a server could read as another request or as two.
 func (c *conn) readHead(limits Limits, arrived time.Time) (*http.Request, error) {
 	c.nc.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	raw, err := c.readRawHead(limits.HeaderBytes)
 	if err != nil {
 		return nil, err
 	}
-	if reason := ambiguousFraming(raw); reason != "" {
-		return nil, &statusError{http.StatusBadRequest, reason}
+	if _, err := httpcheck.CheckRequestHead(raw); err != nil {
+		return nil, malformedRequest("head", httpcheck.CauseOf(err).String())
 	}
 	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(raw)))
 	if err != nil {
-		return nil, &statusError{http.StatusBadRequest, "request head is malformed: " + err.Error()}
+		return nil, malformedRequest("head", err.Error())
 	}
 	if req.Host == "" && req.ProtoAtLeast(1, 1) {
 		return nil, &statusError{http.StatusBadRequest, "request names no host"}
 	}
+	if req.Host != "" && !httpcheck.IsHost(req.Host) { // The target can name the host too.
+		return nil, malformedRequest("head", "invalid host in its target")
+	}
 	return req, nil
 }
 
@@ -61,37 +66,16 @@
 		if bytes.HasSuffix(raw, []byte("\n\r\n")) || bytes.HasSuffix(raw, []byte("\n\n")) {
 			return raw, nil
 		}
-		if len(raw) <= 2 && len(bytes.TrimSpace(raw)) == 0 {
+		if string(raw) == "\n" || string(raw) == "\r\n" {
 			raw = raw[:0] // An empty line before the request line is allowed.
 		}
 	}
 }
 
-// ambiguousFraming returns the reason why the end of the request's body is
-// ambiguous, which allows request smuggling, or "" if it isn't.
-func ambiguousFraming(raw []byte) string {
-	lengths, encodings := 0, 0
-	for line := range bytes.Lines(raw) {
-		name, _, ok := bytes.Cut(line, []byte(":"))
-		if !ok {
-			continue
-		}
-		switch {
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")):
-			encodings++
-		}
-	}
-	switch {
-	case lengths > 0 && encodings > 0:
-		return "request has a length and a transfer encoding"
-	case lengths > 1:
-		return "request has more than one length"
-	case encodings > 1:
-		return "request has more than one transfer encoding"
-	}
-	return ""
+// malformedRequest returns the refusal of a request of which a part is malformed. Its reason is logged, and must not quote
+// values of fields, as they may be keys.
+func malformedRequest(part, reason string) error {
+	return &statusError{http.StatusBadRequest, "request " + part + " is malformed: " + reason}
 }
 
 // pathOf returns the path of a request target as sent. It removes the query and,
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,8 +1,9 @@
 // Package ingress accepts callers' connections and reads their requests.
 //
-// Heads and bodies are parsed by net/http. The package has its own loop over the
-// requests of a connection, because net/http's server doesn't reveal that a request
-// has two different framings, and a router must refuse such requests.
+// Heads and bodies are parsed by net/http, after httpcheck has checked the bytes of
+// the head. The package has its own loop over the requests of a connection, because
+// net/http's server doesn't reveal that a request has two different framings, and a
+// router must refuse such requests.
 package ingress
 
 import (
