--- a/forward/relay.go
+++ b/forward/relay.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/jacinththread/jacinththread/httpcheck"
 	"github.com/jacinththread/jacinththread/ingress"
 	"github.com/jacinththread/jacinththread/placement"
 	"github.com/jacinththread/jacinththread/upstream"
@@ -35,7 +36,8 @@
 }
 
 // withoutHopByHop returns a copy of a header without hop-by-hop fields,
-// including those that its Connection field lists.
+// including those that its Connection field lists, and without fields whose names
+// aren't valid.
 func withoutHopByHop(h http.Header) http.Header {
 	kept := h.Clone()
 	for _, list := range h["Connection"] {
@@ -46,6 +48,7 @@
 	for _, name := range hopByHop {
 		kept.Del(name)
 	}
+	httpcheck.RemoveInvalidNames(kept)
 	return kept
 }
 
