Ask once more for a reset after a server has shown that it lives

A part of an answer could count as whole if its connection was reset while the server was asked whether its process lived on: the reset was asked for only before. It is now asked for again after the evidence is in. The connection is held until then, and closed as soon as the check is over.

TestAnswerWhoseConnectionIsResetDuringTheProbeIsNotWhole failed before.

--- a/upstream/end.go
+++ b/upstream/end.go
@@ -17,8 +17,9 @@
 	deliveryTimeout = 250 * time.Millisecond
 	// deliveryPoll is the time between two looks at the socket during that wait.
 	deliveryPoll = time.Millisecond
-	// heldAfterEnd is how long the connection of a body that has ended with it stays open for Response.WasReset.
-	heldAfterEnd = time.Second
+	// heldAfterEnd is how long the connection of a body that has ended with it stays open at most for Response.WasReset: until
+	// LivedOn has returned.
+	heldAfterEnd = settleTime + livenessTimeout + 250*time.Millisecond
 )
 
 // tcpClose and tcpCloseWait are states of a socket as Linux numbers them: the connection was reset or timed out, or the
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -76,9 +76,10 @@
 )
 
 // LivedOn asks whether the process that sent a response lived on after its body ended with its connection, which the end
-// of a process looks like. The error tells why there is no evidence. Only the path of the response is used, because others
+// of a process looks like. It releases the response's connection. The error tells why there is no evidence. Only the path of the response is used, because others
 // don't tell why its connection ended.
 func (p *Pool) LivedOn(ctx context.Context, resp *Response, s *backend.Server, probe Probe) (Liveness, error) {
+	defer resp.Close() // The connection was held for WasReset.
 	ended := time.Now()
 	if resp.pauses.longest > maxReadPause {
 		return NotShown, errReadPause
@@ -91,6 +92,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
+	liveness, err := p.askLivedOn(ctx, resp, s, probe, ended)
+	if resp.WasReset() {
+		return NotShown, errReset
+	}
+	return liveness, err
+}
+
+// askLivedOn asks the server of a response that ended at the given time whether its process lives.
+func (p *Pool) askLivedOn(ctx context.Context, resp *Response, s *backend.Server, probe Probe, ended time.Time) (Liveness, error) {
 	p.endChecks.Inc(1)
 	r := p.reference(resp.conn)
 	liveness, err := r.ask(ctx, resp, probe, ended.Add(minSettleTime))
