Take only breaks of the reference connection as evidence against an answer

Whole answers that end with their connection counted as not whole when another request's deadline passed or its caller left while the server was asked, when the server took some 100 ms to respond, and when it closed the reference connection for its idle timeout in the middle of the answer. The cause: every error of a question counted as a break, for a second, and a question ended with the request that had asked it.

Now all responses that wait share one question, which has its own time. Only an end or a reset counts as a break, only within 300 ms of the end of the answer, and not if the connection was idle for as long as the server states or was seen to allow, or was reset within 300 ms of being opened without any response. The reference is looked at every 100 ms, so that a break has a time.

The goroutine that keeps the reference open ended with the request, so connections were opened to a server that a stream had left. It ends with the answer.

The pause is set before the server starts, and the first answer has none, as before.

--- a/upstream/end.go
+++ b/upstream/end.go
@@ -146,3 +146,6 @@
 // its socket before it has received all of the request resets the connection only when the rest arrives. It tells
 // nothing after Close and later than heldAfterEnd after the end.
 func (resp *Response) WasReset() bool { return EndOf(resp.conn.Link.Conn) == EndReset }
+
+// wasReset reports whether a connection has been reset.
+func (c *Conn) wasReset() bool { return EndOf(c.Link.Conn) == EndReset }
--- a/upstream/pauses_test.go
+++ b/upstream/pauses_test.go
@@ -22,10 +22,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			u := &untilCloseServer{probeHead: "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"}
+			u := &untilCloseServer{probeHead: "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", pause: c.serverPause}
 			s, p := serve(t, u.serve), newPool()
 			answerOf(t, p, s, "first") // Later responses have a reference connection.
-			u.pause = c.serverPause
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			resp := p.answer(ctx, t, s, "second")
--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -17,7 +16,11 @@
 	// quietInterval is the time between two looks at a connection that has unread bytes.
 	quietInterval = 50 * time.Millisecond
 	// watchInterval is the time between two looks at the reference connection while a response arrives.
-	watchInterval = time.Second
+	watchInterval = 100 * time.Millisecond
+	// breakInterval is how long before or after the end of a body another connection breaks at most that broke with it.
+	breakInterval = 300 * time.Millisecond
+	// refusedTime is how long after it was opened a server resets a connection at most of which it has too many.
+	refusedTime = 300 * time.Millisecond
 	// failedPause is how long after a failure no other reference connection is opened.
 	failedPause = time.Second
 )
@@ -25,18 +28,26 @@
 // reference is a connection to a server that shows that its process lives: it ends with the process and with the path. It
 // serves all responses of the server on that path and carries no requests of callers.
 type reference struct {
-	// asking is held while a probe is sent and answered.
-	asking sync.Mutex
-
 	// mu guards the fields below, and is held while the connection is opened.
 	mu   sync.Mutex
 	conn *Conn
-	// inUse is set while a probe is sent and answered on conn, which may not be touched then.
-	inUse bool
-	// askedAt is when a probe was last sent that got a response, askedOpened when its connection was opened.
-	askedAt, askedOpened time.Time
-	// failedAt is when the connection could last not be opened or used, brokeAt when one was last found broken.
-	failedAt, brokeAt time.Time
+	// asking is the probe that is sent and answered on conn, which may not be touched then; nil if there is none.
+	asking *sharedProbe
+	// asked is the last probe that got a response.
+	asked *sharedProbe
+	// activeAt is when conn was opened or a probe on it was last answered, answered whether one was.
+	activeAt time.Time
+	answered bool
+	// healthyAt is when conn was last found open.
+	healthyAt time.Time
+	// failedAt is when the connection could last not be opened or used.
+	failedAt time.Time
+	// brokeAt is when a connection was last found broken that may have broken with the process or the path, brokeAfter when
+	// it was found open before.
+	brokeAfter, brokeAt time.Time
+	// idleLimit is the idle time after which the server closed a connection without any response that ended then, or zero.
+	// idleBroke is the idle time of the connection that broke at brokeAt.
+	idleLimit, idleBroke time.Duration
 
 	// usedAt and users are guarded by the mutex of the pool. users is the number of responses that arrive now and may need
 	// the reference.
@@ -92,18 +103,26 @@
 	p.untilClose[s.Service] = true
 	r.users++
 	p.mu.Unlock()
+	ctx, resp.stopWatch = context.WithCancel(ctx)
 	go func() {
 		defer p.releaseReference(r)
-		for ctx.Err() == nil {
-			opened := p.openReference(ctx, s, resp.conn)
-			if opened.After(resp.openAt()) && resp.conn.Via == "" {
-				resp.provePrior(ctx, opened)
-			}
-			sleep(ctx, watchInterval)
-		}
+		p.watch(ctx, resp, s)
 	}()
 }
 
+// watch keeps a reference connection open until ctx ends.
+func (p *Pool) watch(ctx context.Context, resp *Response, s *backend.Server) {
+	var last time.Time
+	for ctx.Err() == nil {
+		opened := p.openReference(ctx, s, resp.conn)
+		if opened.After(last) && opened.After(resp.openAt()) && resp.conn.Via == "" {
+			go resp.provePrior(ctx, opened)
+		}
+		last = opened
+		sleep(ctx, watchInterval)
+	}
+}
+
 // releaseReference records that a response doesn't need a reference any more.
 func (p *Pool) releaseReference(r *reference) {
 	p.mu.Lock()
@@ -118,23 +137,33 @@
 	r := p.reference(c)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn != nil && !r.inUse && !r.conn.healthy() {
-		r.dropBroken()
+	if r.conn != nil && r.asking == nil && !r.conn.healthy() {
+		r.dropBroken(r.conn.wasReset())
 	}
+	r.learnIdleLimit()
 	if r.conn != nil {
+		r.healthyAt = time.Now()
 		return r.conn.openedAt
 	}
-	if time.Since(r.failedAt) < failedPause {
+	if ctx.Err() != nil || time.Since(r.failedAt) < failedPause {
 		return time.Time{}
 	}
 	r.conn = p.newReference(ctx, s, c)
 	if r.conn == nil {
-		r.failedAt = time.Now()
+		r.noteFailure(ctx)
 		return time.Time{}
 	}
+	r.activeAt, r.healthyAt, r.answered = time.Now(), time.Now(), false
 	return r.conn.openedAt
 }
 
+// noteFailure records that no connection could be opened, unless that wasn't wanted any more. The caller must hold r.mu.
+func (r *reference) noteFailure(ctx context.Context) {
+	if ctx.Err() == nil {
+		r.failedAt = time.Now()
+	}
+}
+
 // newReference takes an idle connection over the path of c, or opens one. It returns nil if that fails.
 func (p *Pool) newReference(ctx context.Context, s *backend.Server, c *Conn) *Conn {
 	if idle := p.takeIdleVia(c); idle != nil {
@@ -167,99 +196,6 @@
 	r.conn = nil
 }
 
-// dropBroken is like drop for a connection that the server or the path has ended. A server that ends a connection soon after
-// it was opened has too many.
-func (r *reference) dropBroken() {
-	r.brokeAt = time.Now()
-	if r.brokeAt.Sub(r.conn.openedAt) < failedPause {
-		r.failedAt = r.brokeAt
-	}
-	r.drop()
-}
-
-var (
-	errNoReference     = errors.New("no other connection to the server")
-	errReferenceBroken = errors.New("another connection to the server ended at about the same time")
-)
-
-// brokeWith reports whether a reference connection broke at about the time at which a response ended. Both may have ended with
-// the process or with the path.
-func (r *reference) brokeWith(resp *Response, ended time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.brokeAt.After(resp.conn.sentAt) && r.brokeAt.After(ended.Add(-watchInterval))
-}
-
-// ask asks for evidence on the connection, later than a given time. If the connection was opened before the body ended, any
-// response is evidence, otherwise one that names the process.
-func (r *reference) ask(ctx context.Context, resp *Response, probe Probe, after time.Time) (Liveness, error) {
-	r.asking.Lock()
-	defer r.asking.Unlock()
-	if r.hasEvidence(resp, after) {
-		return ByConnection, nil
-	}
-	c, err := r.use(ctx)
-	if err != nil {
-		return NotShown, err
-	}
-	sent := time.Now()
-	identity, err := c.ask(ctx, probe)
-	if err := r.endUse(ctx, sent, identity, err); err != nil {
-		return NotShown, err
-	}
-	if c.openedAt.Before(resp.openAt()) {
-		return ByConnection, nil
-	}
-	return livenessBy(identity)
-}
-
-// hasEvidence reports whether a probe that was sent later than a given time is evidence for a response as well.
-func (r *reference) hasEvidence(resp *Response, after time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.askedAt.After(after) && r.askedOpened.Before(resp.openAt())
-}
-
-// use returns the connection for a probe.
-func (r *reference) use(ctx context.Context) (*Conn, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case r.conn == nil:
-		return nil, errNoReference
-	case ctx.Err() != nil:
-		return nil, ctx.Err()
-	case !r.conn.healthy():
-		r.dropBroken()
-		return nil, errReferenceBroken
-	}
-	r.inUse = true
-	return r.conn, nil
-}
-
-// endUse takes in the result of a probe that was sent at a time. It returns why it is no evidence, or nil.
-func (r *reference) endUse(ctx context.Context, sent time.Time, identity Identity, err error) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inUse = false
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled): // The caller left.
-		r.drop()
-		return ctx.Err()
-	case err != nil:
-		r.dropBroken()
-		return err
-	case identity == OtherProcess:
-		r.drop()
-		return errOtherProcess
-	}
-	r.askedAt, r.askedOpened = sent, r.conn.openedAt
-	if r.conn.closeAfterResponse {
-		r.drop()
-	}
-	return nil
-}
-
 // openAt returns a time at which the response's connection is known to have been open at the server.
 func (resp *Response) openAt() time.Time {
 	if proven := resp.provenOpen.Load(); proven != nil {
@@ -315,7 +251,7 @@
 		return false
 	}
 	defer r.mu.Unlock()
-	if r.inUse {
+	if r.asking != nil {
 		return false
 	}
 	if r.conn != nil {
--- a/upstream/reference_test.go
+++ b/upstream/reference_test.go
@@ -21,7 +21,7 @@
 	probes, conns atomic.Int64
 	// probeHead is the head of its answers to probes.
 	probeHead string
-	// pause is the time between the parts of a body.
+	// pause is the time between the parts of a body, except in the answer to the request "first".
 	pause time.Duration
 }
 
@@ -43,7 +43,9 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+req.Header.Get("Id")+"\r\n\r\n")
 		for range 3 {
 			io.WriteString(c, "part")
-			time.Sleep(u.pause)
+			if req.Header.Get("Id") != "first" {
+				time.Sleep(u.pause)
+			}
 		}
 		return
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -115,6 +115,8 @@
 	pauses readPauses
 	// held closes the connection of a body that has ended with it.
 	held *time.Timer
+	// stopWatch ends the goroutine of WatchEnd; nil if there is none.
+	stopWatch context.CancelFunc
 	// provenOpen is a time after the request was sent at which the connection is known to have been open, or nil.
 	provenOpen atomic.Pointer[time.Time]
 }
@@ -382,6 +384,7 @@
 		return err
 	}
 	if resp.Framing == UntilClose {
+		resp.endWatch()
 		if err := resp.conn.checkEnd(); err != nil {
 			return err
 		}
@@ -398,9 +401,17 @@
 	return io.EOF
 }
 
+// endWatch ends the goroutine of WatchEnd.
+func (resp *Response) endWatch() {
+	if resp.stopWatch != nil {
+		resp.stopWatch()
+	}
+}
+
 // Close ends the exchange. If the body was not read to the end, it closes the
 // connection, which cancels the request at the server.
 func (resp *Response) Close() {
+	resp.endWatch()
 	if resp.held != nil && resp.held.Stop() {
 		resp.conn.pool.discard(resp.conn)
 	}
