Read what a server says of itself to the end of its connection

Whole answers of HTTP/1.0 servers counted as not whole, because their reports have no length and weren't read. A report is a JSON document, which tells its own end, so a part of one names no process.

TestAnswersAreWholeThoughReportsHaveNoLength failed before.

--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -194,14 +194,12 @@
 	return probe.Identify(resp.Status, resp.Header, body), nil
 }
 
-// readProbeBody reads the body of a response to a probe and reports whether the connection can be used on.
+// readProbeBody reads the body of a response to a probe and reports whether the connection can be used on. A body that ends
+// with its connection may be a part: its document must tell whether it is whole.
 func (c *Conn) readProbeBody(resp *Response) (body []byte, complete bool) {
-	if resp.Framing == UntilClose {
-		return nil, false
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.parsed.Body, maxProbeBytes+1))
 	if err == nil {
 		err = httpcheck.CheckTrailer(resp.parsed.Trailer)
 	}
-	return body, err == nil && len(body) <= maxProbeBytes
+	return body, err == nil && len(body) <= maxProbeBytes && resp.Framing != UntilClose
 }
