Neither delay requests for a reference connection nor give up answers shortly before the deadline

A request to a service whose answers end with their connection waited up to 250 ms while a reference connection was opened. It now waits 10 ms at most, and the connection is opened in the background.

A whole answer that ended less than 250 ms before the deadline of its request counted as not whole, because its server was asked 250 ms after the end. It is asked 50 ms before the deadline then, and 150 ms after the end at the earliest.

--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -18,6 +18,8 @@
 	settleTime = 250 * time.Millisecond
 	// minSettleTime is how long after the end of a body a question must have been sent that was sent for another body.
 	minSettleTime = 150 * time.Millisecond
+	// askTime is kept before the deadline of a request for the question.
+	askTime = 50 * time.Millisecond
 	// livenessTimeout bounds the question.
 	livenessTimeout = time.Second
 	// sameConnectTimeout bounds the setup of a connection for it.
@@ -84,7 +86,7 @@
 	if resp.pauses.longest > maxReadPause {
 		return NotShown, errReadPause
 	}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := sleep(ctx, settleTimeIn(ctx)); err != nil {
 		return NotShown, err
 	}
 	if resp.WasReset() {
@@ -115,6 +117,17 @@
 	return p.identify(ctx, resp.conn.Via, s, probe)
 }
 
+// settleTimeIn returns how long after the end of a body its server is asked: less than settleTime, but not less than
+// minSettleTime, if ctx ends soon.
+func settleTimeIn(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return settleTime
+	}
+	left := time.Until(deadline) - askTime
+	return min(settleTime, max(left, minSettleTime+time.Millisecond))
+}
+
 // sleep waits for a time, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -19,6 +19,8 @@
 	watchInterval = 100 * time.Millisecond
 	// breakInterval is how long before or after the end of a body another connection breaks at most that broke with it.
 	breakInterval = 300 * time.Millisecond
+	// prepareTime is how long a request waits at most until a reference connection is open.
+	prepareTime = 10 * time.Millisecond
 	// refusedTime is how long after it was opened a server resets a connection at most of which it has too many.
 	refusedTime = 300 * time.Millisecond
 	// failedPause is how long after a failure no other reference connection is opened.
@@ -85,14 +87,20 @@
 }
 
 // PrepareEnd opens a reference connection before a request is sent, if servers of the service have sent bodies that end
-// with their connection.
+// with their connection. It waits prepareTime for it at most. ctx must end with the request.
 func (p *Pool) PrepareEnd(ctx context.Context, s *backend.Server, c *Conn) {
 	p.mu.Lock()
 	needed := p.untilClose[s.Service]
 	p.mu.Unlock()
-	if needed {
-		p.openReference(ctx, s, c)
+	if !needed {
+		return
 	}
+	waited, cancel := context.WithTimeout(ctx, prepareTime)
+	go func() {
+		defer cancel()
+		p.openReference(ctx, s, c)
+	}()
+	<-waited.Done()
 }
 
 // WatchEnd keeps a reference connection open while a response arrives whose body ends with its connection.
