Give the place of the reference connection to requests that a full server resets

Requests to a server that had as many connections as it accepts were reset one after the other, for as long as the reference connection held the last place.

--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -44,6 +44,8 @@
 	healthyAt time.Time
 	// failedAt is when the connection could last not be opened or used.
 	failedAt time.Time
+	// crowdedUntil is until when no connection is opened, because the server has refused one of a request.
+	crowdedUntil time.Time
 	// brokeAt is when a connection was last found broken that may have broken with the process or the path, brokeAfter when
 	// it was found open before.
 	brokeAfter, brokeAt time.Time
@@ -153,7 +155,7 @@
 		r.healthyAt = time.Now()
 		return r.conn.openedAt
 	}
-	if ctx.Err() != nil || time.Since(r.failedAt) < failedPause {
+	if ctx.Err() != nil || time.Since(r.failedAt) < failedPause || time.Now().Before(r.crowdedUntil) {
 		return time.Time{}
 	}
 	r.conn = p.newReference(ctx, s, c)
@@ -247,7 +249,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, r := range p.references {
-		if r.users == 0 && time.Since(r.usedAt) > key.maxIdle() && r.close() {
+		if r.users == 0 && time.Since(r.usedAt) > key.maxIdle() && r.close() && !r.isCrowded() {
 			delete(p.references, key)
 		}
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -138,6 +138,9 @@
 	resp, err := c.exchange(r)
 	if err != nil {
 		stop()
+		if c.wasRefused() {
+			p.yieldReference(c)
+		}
 		p.discard(c)
 		p.countMalformed(err)
 		if c.Via == "" && saysUnanswered(ctx, err) {
