--- a/placement/admit.go
+++ b/placement/admit.go
@@ -25,9 +25,6 @@
 	// prompts ahead of it, as a multiple of its latency objective. The wait
 	// decreases with the square of the urgency value.
 	maxWaitFactor = 2.0
-	// lessUrgentWaitFactor is the longest wait of a request as a multiple of that of each more urgent class, while all
-	// requests of the service are accepted.
-	lessUrgentWaitFactor = 3
 	// defaultPrefillRate is the prefill rate assumed before any was observed,
 	// in tokens per millisecond.
 	defaultPrefillRate = 30.0
@@ -134,20 +131,17 @@
 	return c.acceptsMoreUrgent(req) && c.fitsMemory(req)
 }
 
-// longestWait returns how long the request may wait for the prompts ahead of it; zero means no bound. It is bounded by
-// the waits of more urgent classes, because a server finishes the prompts that it has begun before it reads theirs.
+// longestWait returns how long the request may wait for the prompts ahead of it; zero means no bound. While requests of
+// the service get nothing, it is at most that of each more urgent class, whose prompts the server may read after those
+// that it has begun.
 func (r *Request) longestWait() time.Duration {
 	longest := r.MaxWait
-	if longest == 0 {
+	if longest == 0 || !r.strained {
 		return longest
 	}
-	factor := time.Duration(lessUrgentWaitFactor)
-	if r.strained {
-		factor = 1
-	}
 	for _, class := range r.moreUrgent() {
 		if w := MaxWait(class.Target, class.Priority); w > 0 {
-			longest = min(longest, factor*w)
+			longest = min(longest, w)
 		}
 	}
 	return longest
