Count a reset of a new reference connection that is seen 250 ms after the end of an answer as a refusal

A server at its limit resets the reference connection at once. If it was opened just before the end of the answer, it is looked at 250 ms later, which with the time between two looks was over the 300 ms for which a reset counted as a refusal, and the whole answer counted as not whole.

--- a/upstream/reference.go
+++ b/upstream/reference.go
@@ -22,7 +22,7 @@
 	// prepareTime is how long a request waits at most until a reference connection is open.
 	prepareTime = 10 * time.Millisecond
 	// refusedTime is how long after it was opened a server resets a connection at most of which it has too many.
-	refusedTime = 300 * time.Millisecond
+	refusedTime = settleTime + 2*watchInterval
 	// failedPause is how long after a failure no other reference connection is opened.
 	failedPause = time.Second
 )
