--- a/httpcheck/cause.go
+++ b/httpcheck/cause.go
@@ -1,6 +1,6 @@
-// Package httpcheck checks responses and heads of requests by RFC 9110 and RFC 9112 where net/http is lenient. A malformed response isn't the
-// response of a sound server: its fields, its framing or its body may be other ones than those that were meant. A
-// malformed request may mean another request, or two, to a server.
+// Package httpcheck checks responses and heads of requests by RFC 9110 and RFC 9112 where net/http is lenient. A
+// malformed response isn't the response of a sound server: its fields, its framing or its body may be other ones than
+// those that were meant. A malformed request may mean another request, or two, to a server.
 package httpcheck
 
 import (
--- a/upstream/liveness.go
+++ b/upstream/liveness.go
@@ -78,8 +78,8 @@
 )
 
 // LivedOn asks whether the process that sent a response lived on after its body ended with its connection, which the end
-// of a process looks like. It releases the response's connection. The error tells why there is no evidence. Only the path of the response is used, because others
-// don't tell why its connection ended.
+// of a process looks like. The error tells why there is no evidence. Only the path of the response is used, because others
+// don't tell why its connection ended. It releases the response's connection.
 func (p *Pool) LivedOn(ctx context.Context, resp *Response, s *backend.Server, probe Probe) (Liveness, error) {
 	defer resp.Close() // The connection was held for WasReset.
 	ended := time.Now()
