--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -275,7 +275,6 @@
 	case q.attempts == 0 && ctx.Err() != nil:
 		q.refuse(http.StatusServiceUnavailable, "deadline passed before the request was sent", noServerRetryAfter)
 	case q.attempts == 0 && res.serverRefused:
-		q.unserved = true
 		q.refuse(http.StatusServiceUnavailable, res.err.Error(), serverFullRetryAfter)
 	case q.attempts == 0:
 		q.refuse(http.StatusServiceUnavailable, res.err.Error(), noServerRetryAfter)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -82,8 +82,7 @@
 		Memory: memory, MaxWait: q.maxWait(), Urgency: q.urgency,
 		Prompt: q.meta.Prompt, TokensIn: q.meta.TokensIn, TokensOut: q.meta.TokensOut, Domain: q.cfg.Domain,
 		Target: q.route.Target, Gap: q.route.GapTarget, Service: q.service, Customer: q.customer,
-		Classes: q.table.Classes(q.service),
-		Tight:   q.route.GapTarget > 0 && q.route.GapTarget <= q.table.MinGapTarget(q.service),
+		Tight: q.route.GapTarget > 0 && q.route.GapTarget <= q.table.MinGapTarget(q.service),
 	}
 }
 
@@ -105,8 +104,7 @@
 		"customer", q.customer, "accepted_share", r.AcceptedShare, "waited_ms", q.waited.Milliseconds(),
 		"route", q.route.Name, "urgency", q.urgency, "target_ms", q.route.Target.Milliseconds(), "tokens_in", q.meta.TokensIn,
 		"server", r.Seen.Chosen, "running", r.Seen.Running, "as_urgent", r.Seen.AtLeastAsUrgent, "memory_tokens", r.Seen.MemoryTokens,
-		"memory_as_urgent", r.Seen.MemoryAhead, "would_accept", r.Seen.WouldAccept)
-	q.unserved, q.held = true, r.Reason == placement.MoreUrgentUnserved
+		"would_accept", r.Seen.WouldAccept)
 	if ctx.Err() != nil {
 		q.giveUp(ctx, attemptResult{runState: notRun, err: errOverloaded})
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -188,7 +188,6 @@
 	q.cfg.Budget.RecordRequest(q.service, time.Since(q.in.Arrived))
 	q.recordOffer()
 	q.run(ctx)
-	q.recordUnserved()
 	q.recordOutcome()
 }
 
@@ -255,9 +254,6 @@
 	// is how long it has waited for slots.
 	accepted, hadTurn bool
 	waited            time.Duration
-	// unserved is set if the request is refused because servers have no room for it, held if they are kept for more
-	// urgent ones.
-	unserved, held bool
 	// readyServers is the number of ready servers at the last placement.
 	readyServers int
 	// fragile is set if servers of the service said at the last placement that they fail under many refusals.
--- a/forward/wait.go
+++ b/forward/wait.go
@@ -20,24 +20,6 @@
 	}
 }
 
-// recordUnserved records a request that got nothing because servers had no room for it in time: it was refused for
-// that, or a busy server didn't begin to answer before the caller left or the time was over.
-func (q *request) recordUnserved() {
-	if len(q.meta.Prompt) == 0 || !q.firstByteAt.IsZero() {
-		return
-	}
-	late := (q.outcome == left || q.outcome == unknown) && q.sends > 0 && q.crashes == 0 && time.Since(q.in.Arrived) > q.route.Target
-	now, req := time.Now(), q.placementRequest()
-	switch {
-	case q.held:
-		q.cfg.Tracker.RecordHeld(now, req)
-	case q.unserved:
-		q.cfg.Tracker.RecordUnserved(now, req)
-	case late:
-		q.cfg.Tracker.RecordLate(now, req, q.estimate.Wait)
-	}
-}
-
 // recordAccepted records, once, that the request is being served.
 func (q *request) recordAccepted(req placement.Request) {
 	if q.accepted || len(q.meta.Prompt) == 0 {
@@ -66,9 +48,7 @@
 }
 
 // mayWait reports whether a request that was refused may be accepted as soon as slots become free.
-func mayWait(r *placement.Refusal) bool {
-	return r.Reason == placement.SlotsUsed || r.Reason == placement.MoreUrgentUnserved
-}
+func mayWait(r *placement.Refusal) bool { return r.Reason == placement.SlotsUsed }
 
 // waitEntry describes the request for the queue.
 func (q *request) waitEntry(req placement.Request) *admission.Entry {
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -76,9 +76,8 @@
 	Chosen string
 	// Running and AtLeastAsUrgent count the requests at the chosen server, or at all if none was chosen.
 	Running, AtLeastAsUrgent int
-	// MemoryTokens is the memory that the requests at the chosen server need, in tokens, MemoryAhead the part of those
-	// that are at least as urgent.
-	MemoryTokens, MemoryAhead int
+	// MemoryTokens is the memory that the requests at the chosen server need, in tokens.
+	MemoryTokens int
 	// WouldAccept is the number of servers that would have accepted the request by their backlog and memory.
 	WouldAccept int
 }
@@ -101,7 +100,7 @@
 func seenChosen(chosen *Candidate, candidates []Candidate, req *Request) ServersSeen {
 	return ServersSeen{
 		Chosen: chosen.Server.ID, Running: int(chosen.Running), AtLeastAsUrgent: int(chosen.AtLeastAsUrgent),
-		MemoryTokens: int(chosen.MemoryUsed), MemoryAhead: int(chosen.MemoryAhead), WouldAccept: seenAll(candidates, req).WouldAccept,
+		MemoryTokens: int(chosen.MemoryUsed), WouldAccept: seenAll(candidates, req).WouldAccept,
 	}
 }
 
@@ -125,49 +124,16 @@
 // accepts reports whether the expected wait and the memory of the server allow
 // the request to be sent to it.
 func (c *Candidate) accepts(req *Request) bool {
-	if longest := req.longestWait(); longest > 0 && c.expectedWait() > longest {
+	if req.MaxWait > 0 && c.expectedWait() > req.MaxWait {
 		return false
 	}
-	return c.acceptsMoreUrgent(req) && c.fitsMemory(req)
+	return c.fitsMemory(req)
 }
 
-// longestWait returns how long the request may wait for the prompts ahead of it; zero means no bound. While requests of
-// the service get nothing, it is at most that of each more urgent class, whose prompts the server may read after those
-// that it has begun.
-func (r *Request) longestWait() time.Duration {
-	longest := r.MaxWait
-	if longest == 0 || !r.strained {
-		return longest
-	}
-	for _, class := range r.moreUrgent() {
-		if w := MaxWait(class.Target, class.Priority); w > 0 {
-			longest = min(longest, w)
-		}
-	}
-	return longest
-}
-
-// acceptsMoreUrgent reports whether the expected wait allows all requests to be sent to the server that are more urgent
-// than a request. Their objectives may be shorter, so that they are refused behind fewer prompts.
-func (c *Candidate) acceptsMoreUrgent(req *Request) bool {
-	for _, class := range req.moreUrgent() {
-		longest := MaxWait(class.Target, class.Priority)
-		if longest > 0 && c.waitOf(class.Urgency) > longest {
-			return false
-		}
-	}
-	return true
-}
-
-// waitOf returns how long the server needs to read the prompts that are at least as urgent as an urgency.
-func (c *Candidate) waitOf(urgency int) time.Duration {
-	return time.Duration(c.backlog.atLeast(urgency) / c.PrefillRate * float64(time.Millisecond))
-}
-
-// fitsMemory reports whether the server has enough memory left for the request beside those that are at least as
-// urgent. The server preempts the others if need be. A server without requests at least as urgent accepts any.
+// fitsMemory reports whether the server has enough memory left for the request.
+// A server without running requests accepts any.
 func (c *Candidate) fitsMemory(req *Request) bool {
-	return req.Memory == 0 || c.AtLeastAsUrgent == 0 || c.MemoryAhead+memoryTokens(req) <= maxMemoryShare*float64(req.Memory)
+	return req.Memory == 0 || c.Running == 0 || c.MemoryUsed+memoryTokens(req) <= maxMemoryShare*float64(req.Memory)
 }
 
 // memoryTokens returns the most memory that a request may need, in tokens.
@@ -176,7 +142,9 @@
 func memoryTokens(req *Request) float64 { return float64(req.TokensIn + req.TokensOut) }
 
 // admit returns a refusal if the chosen server cannot accept the request, and
-// nil otherwise. Requests without a maximum wait or without prompt parts are never
+// nil otherwise. It does not try other servers: they would have to read the
+// parts that the chosen one has cached, which costs all requests more than this
+// one gains. Requests without a maximum wait or without prompt parts are never
 // refused, nor is a request for which only suspended servers are left.
 func admit(chosen *Candidate, req *Request, rnd *rand.Rand) *Refusal {
 	if req.MaxWait == 0 || len(req.Prompt) == 0 || chosen.Suspended || chosen.accepts(req) {
--- a/placement/exchange.go
+++ b/placement/exchange.go
@@ -45,8 +45,6 @@
 	workInterval = 400 * time.Millisecond
 	// workRefreshInterval is how often all work is reported, including that which has not changed.
 	workRefreshInterval = 3 * time.Second
-	// turnoutInterval is the time between two reports of what classes got.
-	turnoutInterval = 200 * time.Millisecond
 	// shardCount is the number of shards into which the servers are divided.
 	shardCount = 8
 )
@@ -85,9 +83,7 @@
 	nextRefresh time.Time
 	// nextWork is when changes of the work of customers are reported, nextWorkRefresh when all of it is.
 	nextWork, nextWorkRefresh time.Time
-	// nextTurnouts is when turnouts are reported.
-	nextTurnouts time.Time
-	sent, early  metrics.Counter
+	sent, early               metrics.Counter
 	// now returns the time. Tests replace it.
 	now func() time.Time
 }
@@ -175,13 +171,12 @@
 		e.nextRefresh = now.Add(refreshInterval)
 	}
 	work, sendWork := e.takeWork(now)
-	turnouts, sendTurnouts := e.takeTurnouts(now)
-	changes := loadsMessage{Loads: e.tracker.takeChanges(all), Work: work, Turnouts: turnouts}
+	changes := loadsMessage{Loads: e.tracker.takeChanges(all), Work: work}
 	if len(fleet.Others) <= maxDirectPeers {
 		e.sendToAll(fleet, &changes)
 	} else {
 		e.sendToRelays(fleet, &changes)
-		e.sendTotals(fleet, now, sendWork, sendTurnouts)
+		e.sendTotals(fleet, now, sendWork)
 	}
 	e.tracker.updateRemote(now)
 	e.tracker.setDaemons(len(fleet.Others) + 1)
@@ -200,28 +195,10 @@
 	return e.tracker.shares.TakeChanges(now, all), true
 }
 
-// takeTurnouts returns the turnouts to report in this round, and whether turnouts are reported at all.
-func (e *LoadExchange) takeTurnouts(now time.Time) ([]classTurnout, bool) {
-	if now.Before(e.nextTurnouts) {
-		return nil, false
-	}
-	e.nextTurnouts = now.Add(turnoutInterval)
-	e.tracker.mu.Lock()
-	defer e.tracker.mu.Unlock()
-	return e.tracker.turnouts.take(now), true
-}
-
-// turnoutSums returns the turnouts of all daemons for a shard that the local daemon relays.
-func (e *LoadExchange) turnoutSums(now time.Time, shard int32) []classTurnout {
-	e.tracker.mu.Lock()
-	defer e.tracker.mu.Unlock()
-	return e.tracker.turnouts.sums(now, func(c fairshare.Class) bool { return shardOf(c.Service) == shard })
-}
-
 // sendToAll sends changes to all other daemons.
 func (e *LoadExchange) sendToAll(fleet Fleet, changes *loadsMessage) {
 	e.tracker.discardQueuedParts()
-	if changes.isEmpty() {
+	if len(changes.Loads) == 0 && len(changes.Work) == 0 {
 		return
 	}
 	e.sendEach(fleet.OtherNames(), changes)
@@ -230,7 +207,7 @@
 // sendToRelays sends changes to the relays of their shards in all failure
 // domains.
 func (e *LoadExchange) sendToRelays(fleet Fleet, changes *loadsMessage) {
-	if changes.isEmpty() {
+	if len(changes.Loads) == 0 && len(changes.Work) == 0 {
 		return
 	}
 	domains := fleet.domains()
@@ -246,7 +223,7 @@
 	}
 }
 
-// byShard divides a message by the shards of its servers, classes and services.
+// byShard divides a message by the shards of its servers and classes.
 func (m *loadsMessage) byShard() map[int32]*loadsMessage {
 	out := map[int32]*loadsMessage{}
 	of := func(shard int32) *loadsMessage {
@@ -263,16 +240,12 @@
 		part := of(shardOfClass(w.Class))
 		part.Work = append(part.Work, w)
 	}
-	for _, o := range m.Turnouts {
-		part := of(shardOf(o.Class.Service))
-		part.Turnouts = append(part.Turnouts, o)
-	}
 	return out
 }
 
 // sendTotals sends the totals of the shards that the local daemon relays to the
-// other daemons of its failure domain, with the work of customers if withWork is set and turnouts if withTurnouts is.
-func (e *LoadExchange) sendTotals(fleet Fleet, now time.Time, withWork, withTurnouts bool) {
+// other daemons of its failure domain, with the work of customers if withWork is set.
+func (e *LoadExchange) sendTotals(fleet Fleet, now time.Time, withWork bool) {
 	members := fleet.domains()[fleet.Self.Domain]
 	for shard := range int32(shardCount) {
 		if relayOf(fleet.Self.Domain, shard, members) != fleet.Self.Name {
@@ -282,9 +255,6 @@
 		if withWork {
 			m.Work = e.tracker.shares.Totals(now, func(c fairshare.Class) bool { return shardOfClass(c) == shard })
 		}
-		if withTurnouts {
-			m.Turnouts = e.turnoutSums(now, shard)
-		}
 		e.sendEach(without(members, fleet.Self.Name), m)
 	}
 }
--- a/placement/inflight.go
+++ b/placement/inflight.go
@@ -45,8 +45,6 @@
 	// BacklogTokens is the number of prompt tokens that the server had to read
 	// before this request.
 	BacklogTokens int
-	// Wait is how long the server was expected to read these.
-	Wait time.Duration
 	// Running is the number of other requests at the server, of all daemons.
 	Running int
 	// MemoryTokens is the memory that these requests need, in tokens.
@@ -108,7 +106,7 @@
 	st := f.tracker.state(f.Server.Instance())
 	st.running--
 	st.slots[f.urgency]--
-	st.used[f.urgency] -= int32(f.used)
+	st.used -= f.used
 	if f.tight {
 		st.tight--
 	}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -35,8 +35,6 @@
 	// RunningByUrgency divides Running, without trailing zeros. Daemons of older versions do not
 	// send it.
 	RunningByUrgency []int32
-	// MemoryByUrgency divides MemoryUsed, without trailing zeros. Daemons of older versions do not send it.
-	MemoryByUrgency []int32
 }
 
 // id identifies the server instance that the load is on.
@@ -53,20 +51,6 @@
 	return decodeByUrgency(l.RunningByUrgency, l.Running, route.MaxUrgency)
 }
 
-// memory returns the memory by urgency. That of daemons of older versions is divided like their requests.
-func (l *serverLoad) memory() byUrgency {
-	if len(l.MemoryByUrgency) > 0 {
-		return decodeByUrgency(l.MemoryByUrgency, l.MemoryUsed, 0)
-	}
-	slots := l.slots()
-	return slots.divide(l.MemoryUsed)
-}
-
-// setMemory sets the memory that the requests need.
-func (l *serverLoad) setMemory(b *byUrgency) {
-	l.MemoryUsed, l.MemoryByUrgency = int32(b.total()), b.encode()
-}
-
 // setTokens sets the backlog.
 func (l *serverLoad) setTokens(b *byUrgency) {
 	l.Backlog, l.BacklogByUrgency = int32(b.total()), b.encode()
@@ -84,18 +68,11 @@
 	Loads []serverLoad
 	// Work is the work that customers offered to the sender. Daemons of older versions do not send it.
 	Work []fairshare.ClassWork
-	// Turnouts are those of the sender. Daemons of older versions do not send them.
-	Turnouts []classTurnout
 }
 
 // Kind implements peer.Message.
 func (*loadsMessage) Kind() peer.Kind { return peer.KindServerLoads }
 
-// isEmpty reports whether the message tells nothing.
-func (m *loadsMessage) isEmpty() bool {
-	return len(m.Loads) == 0 && len(m.Work) == 0 && len(m.Turnouts) == 0
-}
-
 // totalsMessage reports the load of all daemons on the servers of a shard.
 // Servers that it does not list have no load.
 type totalsMessage struct {
@@ -104,8 +81,6 @@
 	// Work is the work that customers offered to all daemons, in the classes of the shard. Daemons of older
 	// versions do not send it.
 	Work []fairshare.ClassWork
-	// Turnouts are those of all daemons, of the services of the shard. Daemons of older versions do not send them.
-	Turnouts []classTurnout
 }
 
 // Kind implements peer.Message.
@@ -113,11 +88,9 @@
 
 // remoteLoad is the load of the other daemons on a server.
 type remoteLoad struct {
-	running, tight float64
-	backlog        byUrgency
-	slots          byUrgency
-	// used is the memory that the requests need, in tokens.
-	used byUrgency
+	running, tight, used float64
+	backlog              byUrgency
+	slots                byUrgency
 }
 
 func (r *remoteLoad) add(l *serverLoad) {
@@ -127,8 +100,7 @@
 	r.backlog.add(&tokens)
 	slots := l.slots()
 	r.slots.add(&slots)
-	used := l.memory()
-	r.used.add(&used)
+	r.used += float64(l.MemoryUsed)
 }
 
 // subtract removes the load that the local daemon last reported, which totals
@@ -140,8 +112,7 @@
 	r.backlog.subtract(&tokens)
 	slots := l.slots()
 	r.slots.subtract(&slots)
-	used := l.memory()
-	r.used.subtract(&used)
+	r.used = max(0, r.used-float64(l.MemoryUsed))
 }
 
 // peerLoad is the load on a server as last reported by one daemon.
@@ -166,14 +137,13 @@
 	for instance, st := range t.servers {
 		now := serverLoad{
 			Server: instance.ID, Started: instance.Started,
-			Running: int32(st.running), Tight: int32(st.tight), Parts: st.unsharedParts,
+			Running: int32(st.running), Tight: int32(st.tight), MemoryUsed: int32(st.used), Parts: st.unsharedParts,
 		}
-		same := now.Running == st.reported.Running && st.used == st.reported.memory() && st.backlog == st.reported.tokens() && st.slots == st.reported.slots()
+		same := now.Running == st.reported.Running && now.MemoryUsed == st.reported.MemoryUsed && st.backlog == st.reported.tokens() && st.slots == st.reported.slots()
 		if same && len(st.unsharedParts) == 0 && (!all || now.empty()) {
 			continue
 		}
 		now.setTokens(&st.backlog)
-		now.setMemory(&st.used)
 		now.RunningByUrgency = st.slots.encode()
 		out = append(out, now)
 		st.unsharedParts = nil
@@ -189,7 +159,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordParts(m.Loads, now)
-	t.turnouts.receivePeer(from, m.Turnouts, now)
 	for _, l := range m.Loads {
 		instance := l.id()
 		if t.peerLoads[instance] == nil {
@@ -209,7 +178,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.recordParts(m.Loads, now)
-	t.turnouts.receiveTotals(m.Turnouts, now)
 	t.totals[m.Shard] = receivedTotals{receivedAt: now, loads: m.Loads}
 	for instance := range t.remote {
 		if shardOf(instance.ID) == m.Shard {
@@ -315,7 +283,7 @@
 		r := t.sumPeerLoads(instance, now)
 		l := serverLoad{
 			Server: instance.ID, Started: instance.Started, Running: int32(r.running), Tight: int32(r.tight),
-			Parts: t.queuedParts[instance],
+			MemoryUsed: int32(r.used), Parts: t.queuedParts[instance],
 		}
 		delete(t.queuedParts, instance)
 		if st := t.servers[instance]; st != nil {
@@ -325,11 +293,9 @@
 			r.backlog.add(&tokens)
 			slots := st.reported.slots()
 			r.slots.add(&slots)
-			used := st.reported.memory()
-			r.used.add(&used)
+			l.MemoryUsed += st.reported.MemoryUsed
 		}
 		l.setTokens(&r.backlog)
-		l.setMemory(&r.used)
 		l.RunningByUrgency = r.slots.encode()
 		if !l.empty() {
 			m.Loads = append(m.Loads, l)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,7 +18,6 @@
 
 	"github.com/jacinththread/jacinththread/backend"
 	"github.com/jacinththread/jacinththread/fairshare"
-	"github.com/jacinththread/jacinththread/route"
 )
 
 // Part is a part of a prompt that other prompts may contain as well. A server
@@ -59,10 +58,6 @@
 	// Urgency is the rank of the request at the server, from 0, the most urgent, to
 	// route.MaxUrgency.
 	Urgency int
-	// Classes lists the requests that the service may get, the most urgent first. It is not modified.
-	Classes []route.Class
-	// strained is set while requests of the service get nothing for want of room.
-	strained bool
 	// Domain is the failure domain of the local daemon.
 	Domain string
 	// Service is the service of the servers and Customer who sent the request; empty if it isn't known.
@@ -90,8 +85,6 @@
 	// AtLeastAsUrgent is the part of Running that is at least as urgent as the request to be
 	// placed.
 	AtLeastAsUrgent float64
-	// slots is Running by urgency.
-	slots byUrgency
 	// Tight is the number of running requests with a tight gap objective.
 	Tight float64
 	// Backlog is the number of prompt tokens of requests that have not produced
@@ -102,10 +95,6 @@
 	Ahead float64
 	// MemoryUsed is the memory that all running requests need, in tokens.
 	MemoryUsed float64
-	// MemoryAhead is the part of MemoryUsed of requests that are at least as urgent as the request to be placed.
-	MemoryAhead float64
-	// backlog is Backlog by urgency.
-	backlog byUrgency
 	// PrefillRate is the rate at which the server reads prompts, in tokens per
 	// millisecond.
 	PrefillRate float64
--- a/placement/room.go
+++ b/placement/room.go
@@ -10,16 +10,6 @@
 // RecordOffer records that a customer offered a request to the local daemon, once for each request.
 func (t *Tracker) RecordOffer(now time.Time, req Request) {
 	t.shares.Offered(now, req.class(), req.Customer, req.work())
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.turnouts.record(req.class(), turnout{offered: 1, updatedAt: now})
-}
-
-// RecordUnserved records that a request that was offered got nothing because servers had no room for it in time.
-func (t *Tracker) RecordUnserved(now time.Time, req Request) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.turnouts.record(req.class(), turnout{unserved: 1, updatedAt: now})
 }
 
 // RecordAccepted records that a request that was offered is being served, once for each request.
@@ -32,38 +22,18 @@
 	return t.shares.IsOverShare(now, req.class(), req.Customer)
 }
 
-// RecordLate records that a request that was offered and sent got nothing within its objective, though its server was
-// expected to need the given time for the prompts ahead of it. Answers are also lost for other reasons, so it counts only
-// if the server was busy or others get nothing for want of room.
-func (t *Tracker) RecordLate(now time.Time, req Request, wait time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if wait > time.Duration(lateWaitShare*float64(req.Target)) || t.isStrained(now, &req) {
-		t.turnouts.record(req.class(), turnout{unserved: 1, held: 1, updatedAt: now})
-	}
-}
-
-// RecordHeld records that a request that was offered was refused in favour of more urgent ones.
-func (t *Tracker) RecordHeld(now time.Time, req Request) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.turnouts.record(req.class(), turnout{unserved: 1, held: 1, updatedAt: now})
-}
-
 // Pace returns how quickly slots of servers become free for requests of the local daemon that are like the given
 // one. Each daemon takes its part of the slots that requests of all daemons leave.
 func (t *Tracker) Pace(now time.Time, servers []*backend.Server, req Request) admission.Pace {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	req.strained = t.isStrained(now, &req)
 	candidates := t.candidates(now, servers, req)
 	running := 0.0
 	for i := range candidates {
 		running += candidates[i].Running
 	}
 	interval := time.Duration(float64(t.hold.orDefault()) * float64(max(1, t.daemons)) / max(1, running))
-	share := min(t.acceptedShare(now, candidates, &req), t.openShare(now, candidates, &req))
-	return admission.Pace{Interval: interval, Share: share}
+	return admission.Pace{Interval: interval, Share: t.acceptedShare(now, candidates, &req)}
 }
 
 // RefuseBySlots returns the refusal of a request for which no slots are left because others wait for them.
--- a/placement/sim_engine_test.go
+++ b/placement/sim_engine_test.go
@@ -75,12 +75,16 @@
 		next := slices.MinFunc(e.waiting, func(a, b *simJob) int {
 			return cmp.Or(cmp.Compare(a.flight.urgency, b.flight.urgency), cmp.Compare(a.sentAt, b.sentAt))
 		})
-		for len(e.running) >= e.cfg.slots || len(e.running) > 0 && e.memoryWith(next) > e.cfg.memory {
-			victim := e.victim()
+		if len(e.running) >= e.cfg.slots {
+			victim := slices.MaxFunc(e.running, func(a, b *simJob) int {
+				return cmp.Or(cmp.Compare(a.flight.urgency, b.flight.urgency), cmp.Compare(a.admitted, b.admitted))
+			})
 			if victim.flight.urgency <= next.flight.urgency {
 				return
 			}
-			f.preempt(e, victim)
+			f.counts.preempted++
+			e.running = slices.DeleteFunc(e.running, func(o *simJob) bool { return o == victim })
+			e.waiting = append(e.waiting, victim)
 		}
 		e.waiting = slices.DeleteFunc(e.waiting, func(o *simJob) bool { return o == next })
 		e.admitted++
@@ -98,40 +102,6 @@
 	}
 }
 
-// victim returns the request that is preempted next: the newest of the least urgent ones.
-func (e *simEngine) victim() *simJob {
-	return slices.MaxFunc(e.running, func(a, b *simJob) int {
-		return cmp.Or(cmp.Compare(a.flight.urgency, b.flight.urgency), cmp.Compare(a.admitted, b.admitted))
-	})
-}
-
-// preempt moves a request back to the queue.
-func (f *simFleet) preempt(e *simEngine, victim *simJob) {
-	f.counts.preempted++
-	e.running = slices.DeleteFunc(e.running, func(o *simJob) bool { return o == victim })
-	e.waiting = append(e.waiting, victim)
-}
-
-// memoryWith returns the memory that the running requests need beside another one, which may be nil. Parts that
-// requests share take memory once.
-func (e *simEngine) memoryWith(next *simJob) int {
-	jobs := e.running
-	if next != nil {
-		jobs = append(slices.Clone(jobs), next)
-	}
-	used, seen := 0, map[uint64]bool{}
-	for _, j := range jobs {
-		used += j.tokens
-		for _, p := range j.call.req.Prompt {
-			if !seen[p.Hash] {
-				used += p.Tokens
-				seen[p.Hash] = true
-			}
-		}
-	}
-	return used
-}
-
 // prefill reads a chunk of prompts and returns how long the step takes.
 func (f *simFleet) prefill(e *simEngine) time.Duration {
 	read := 0
@@ -154,9 +124,6 @@
 
 // decode generates a token for each request whose prompt has been read.
 func (f *simFleet) decode(e *simEngine) {
-	for len(e.running) > 1 && e.memoryWith(nil) > e.cfg.memory {
-		f.preempt(e, e.victim())
-	}
 	for _, j := range slices.Clone(e.running) {
 		if j.left > 0 {
 			continue
@@ -176,7 +143,6 @@
 	if !j.started {
 		j.started = true
 		call.first = f.now - call.arrived
-		f.began = append(f.began, simBegin{f.now, call.class, call.req.TokensIn})
 	} else {
 		call.longest = max(call.longest, f.now-j.last)
 	}
--- a/placement/sim_fleet_test.go
+++ b/placement/sim_fleet_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/jacinththread/jacinththread/admission"
 	"github.com/jacinththread/jacinththread/backend"
-	"github.com/jacinththread/jacinththread/route"
 )
 
 // This file simulates a fleet of daemons that place requests on model servers. Each daemon uses a
@@ -22,9 +21,7 @@
 type simClass struct {
 	name     string
 	priority int
-	// customerPriority is that of the customers, by which the longest wait is chosen; that of the class if it is zero.
-	customerPriority int
-	perSec           float64
+	perSec   float64
 	// shared and own are the lengths of the prompt's parts, subjects the number of different shared parts.
 	shared, own, subjects int
 	// spread is the standard deviation of the logarithm of the lengths.
@@ -56,7 +53,6 @@
 	engine           simEngineConfig
 	classes          []simClass
 	bursts           []simBurst
-	leaves           []simLeave
 	// customers is the number of customers, of which a few are large; zero if they aren't told apart.
 	customers int
 	// queued makes requests wait for slots at the daemon.
@@ -64,18 +60,6 @@
 	length time.Duration
 }
 
-// simLeave takes servers away. They get no more requests and complete those that they have.
-type simLeave struct {
-	at      time.Duration
-	servers int
-}
-
-// simBegin is the begin of a request at a server.
-type simBegin struct {
-	at            time.Duration
-	class, tokens int
-}
-
 // simCall is the request of a caller with its repetitions.
 type simCall struct {
 	class    int
@@ -127,8 +111,6 @@
 	requests int
 	// open is the number of calls that have not ended.
 	open int
-	// began lists the requests that servers began to answer.
-	began []simBegin
 	// queues are the queues of the daemons, and waiting the calls in them.
 	queues  map[int]*admission.Queue
 	waiting map[*admission.Entry]*simCall
@@ -197,9 +179,6 @@
 	for i := range f.load.classes {
 		f.scheduleArrival(i)
 	}
-	for _, l := range f.load.leaves {
-		f.after(l.at, func() { f.servers = f.servers[l.servers:] })
-	}
 	for i := range f.load.daemons {
 		f.after(time.Duration(f.rnd.Int64N(int64(f.interval()))), func() { f.scheduleRound(i) })
 	}
@@ -305,20 +284,6 @@
 	})
 }
 
-// rank returns the priority that decides first.
-func (c *simClass) rank() int { return cmp.Or(c.customerPriority, c.priority) }
-
-// urgencyClasses returns the classes of the service, the most urgent first.
-func (l *simLoad) urgencyClasses() []route.Class {
-	tightest := slices.MinFunc(l.classes, func(a, b simClass) int { return cmp.Compare(a.gap, b.gap) }).gap
-	var out []route.Class
-	for _, c := range l.classes {
-		out = append(out, route.Class{Urgency: c.priority, Priority: c.rank(), Target: c.target, Tight: c.gap == tightest})
-	}
-	slices.SortFunc(out, func(a, b route.Class) int { return cmp.Compare(a.Urgency, b.Urgency) })
-	return out
-}
-
 // logNormal returns a random number with the given mean.
 func (f *simFleet) logNormal(mean, spread, most float64) float64 {
 	return min(most*mean, mean*math.Exp(spread*f.rnd.NormFloat64()-spread*spread/2))
@@ -336,7 +301,7 @@
 		Prompt:   []Part{NewPart(fmt.Sprint(c.name, subject), shared), NewPart(fmt.Sprint("own-", len(f.calls)), own)},
 		TokensIn: shared + own, TokensOut: call.events * f.load.engine.tokensPerEvent * 2,
 		Gap: c.gap, Tight: c.gap == f.tightestGap(), Memory: f.load.engine.memory, Urgency: c.priority,
-		Target: c.target, MaxWait: MaxWait(c.target, c.rank()), Classes: f.load.urgencyClasses(),
+		Target: c.target, MaxWait: MaxWait(c.target, c.priority),
 		Domain: fmt.Sprint("d", call.daemon%3), Service: "engines",
 	}
 	if f.load.customers > 0 {
@@ -389,9 +354,8 @@
 func (f *simFleet) send(call *simCall, sends int, tried []*backend.Server) {
 	flight, refusal := f.place(call, tried)
 	if refusal != nil {
-		mayWait := refusal.Reason == SlotsUsed || refusal.Reason == MoreUrgentUnserved
-		if !mayWait || !f.enqueue(call) {
-			f.refuseFor(call, refusal)
+		if refusal.Reason != SlotsUsed || !f.enqueue(call) {
+			f.refuse(call, refusal.RetryAfter)
 		}
 		return
 	}
@@ -485,22 +449,6 @@
 
 // refuse ends a request, or makes its caller come back once.
 func (f *simFleet) refuse(call *simCall, retryAfter time.Duration) {
-	f.daemons.tracker(call.daemon).RecordUnserved(f.clock(), call.req)
-	f.sendBack(call, retryAfter)
-}
-
-// refuseFor ends a request that wasn't accepted, or makes its caller come back once.
-func (f *simFleet) refuseFor(call *simCall, r *Refusal) {
-	if r.Reason != MoreUrgentUnserved {
-		f.refuse(call, r.RetryAfter)
-		return
-	}
-	f.daemons.tracker(call.daemon).RecordHeld(f.clock(), call.req)
-	f.sendBack(call, r.RetryAfter)
-}
-
-// sendBack makes a caller come back once, or ends its request.
-func (f *simFleet) sendBack(call *simCall, retryAfter time.Duration) {
 	c := &f.load.classes[call.class]
 	left := call.arrived + c.deadline - f.now
 	if call.returned || left <= 0 {
@@ -520,9 +468,6 @@
 func (f *simFleet) end(call *simCall, r simResult) {
 	if call.result == simPending {
 		call.result = r
-		if r == simFailed && call.first == 0 {
-			f.daemons.tracker(call.daemon).RecordUnserved(f.clock(), call.req)
-		}
 		f.open--
 	}
 }
--- a/placement/slots.go
+++ b/placement/slots.go
@@ -20,12 +20,6 @@
 	// accept and refuse in turn.
 	openOccupancy = 0.75
 	fullOccupancy = 1.0
-	// From yieldOccupancy of the slots in use by a class, fewer less urgent requests are accepted, and none from
-	// openOccupancy on, when requests of the class itself begin to be refused.
-	yieldOccupancy = 0.6
-	// maxYielded is the most that slots in use by less urgent requests count as free, because servers preempt these,
-	// while requests get nothing for want of room.
-	maxYielded = 0.2
 	// maxOccupancy is the number of requests at a server, relative to its slots, above which it
 	// gets no more while others have fewer.
 	maxOccupancy = 1.5
@@ -107,64 +101,22 @@
 	return out
 }
 
-// acceptedShare returns the share of the requests of this urgency that is accepted. It is zero before any request of a
-// more urgent class of the service is refused.
+// acceptedShare returns the share of the requests of this urgency that is accepted, by the slots
+// that requests at least as urgent use on the servers that are meant for it.
 func acceptedShare(candidates []Candidate, req *Request) float64 {
-	use := poolUse(candidates, req.Tight, func(c *Candidate) float64 { return c.AtLeastAsUrgent })
-	if req.strained {
-		others := poolUse(candidates, req.Tight, func(c *Candidate) float64 { return c.Running - c.AtLeastAsUrgent })
-		use -= min(others, maxYielded)
-	}
-	share := freeShare(use)
-	for _, class := range req.moreUrgent() {
-		if MaxWait(class.Target, class.Priority) == 0 {
-			continue
-		}
-		use := poolUse(candidates, class.Tight, func(c *Candidate) float64 { return c.slots.atLeast(class.Urgency) })
-		share = min(share, req.staged(class, use, yieldOccupancy, openOccupancy))
-	}
-	return share
-}
-
-// poolUse returns the share of the slots that some requests use: on the servers that are meant for the class, or on
-// all servers if that is less, because tight requests may use the others as well.
-func poolUse(candidates []Candidate, tight bool, used func(*Candidate) float64) float64 {
-	var pool, all slotUse
-	for i := range candidates {
-		c := &candidates[i]
-		if c.Suspended {
-			continue
-		}
-		all.add(used(c), c.Slots)
-		if c.Reserved == tight {
-			pool.add(used(c), c.Slots)
+	used, slots := 0.0, 0.0
+	for _, c := range candidates {
+		if c.Reserved == req.Tight && !c.Suspended {
+			used += c.AtLeastAsUrgent
+			slots += float64(c.Slots)
 		}
 	}
-	if tight {
-		return min(pool.share(), all.share())
+	if slots == 0 {
+		return 1
 	}
-	return pool.share()
+	return min(1, max(0, (fullOccupancy-used/slots)/(fullOccupancy-openOccupancy)))
 }
 
-// slotUse counts slots and those in use.
-type slotUse struct{ used, slots float64 }
-
-func (u *slotUse) add(used float64, slots int) {
-	u.used += used
-	u.slots += float64(slots)
-}
-
-// share returns the share of the slots in use; zero if none are known.
-func (u slotUse) share() float64 {
-	if u.slots == 0 {
-		return 0
-	}
-	return u.used / u.slots
-}
-
-// freeShare returns the share of requests that is accepted while a share of the slots is in use.
-func freeShare(use float64) float64 { return ramp(use, openOccupancy, fullOccupancy) }
-
 // admitBySlots returns a refusal if the request isn't among the share of its customer's requests that is accepted
 // at the present use of the slots, and nil otherwise. Requests without a maximum wait are always accepted.
 func admitBySlots(share float64, req *Request, rnd *rand.Rand) *Refusal {
--- a/placement/total.go
+++ b/placement/total.go
@@ -39,11 +39,11 @@
 	for _, s := range servers {
 		r := t.remote[s.Instance()]
 		total.Requests += r.running
-		total.MemoryTokens += r.used.total()
+		total.MemoryTokens += r.used
 		total.Unread += r.backlog.total()
 		if st := t.servers[s.Instance()]; st != nil {
 			total.Requests += float64(st.running)
-			total.MemoryTokens += st.used.total()
+			total.MemoryTokens += float64(st.used)
 			total.Unread += st.backlog.total()
 		}
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -31,11 +31,9 @@
 	// shares divides scarce slots among customers; nil if they aren't divided.
 	shares *fairshare.Ledger
 
-	mu  sync.Mutex
-	rnd *rand.Rand
-	// turnouts counts the requests that were offered and those that got nothing.
-	turnouts turnouts
-	servers  map[backend.Instance]*serverState
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	servers map[backend.Instance]*serverState
 	// peerLoads holds the loads reported by other daemons, by server and
 	// daemon; totals holds the total loads reported by relays, by shard; remote
 	// holds the load of all other daemons on each server, which updateRemote
@@ -66,13 +64,12 @@
 // are those of the local daemon.
 type serverState struct {
 	// hash is the hash of the server's ID.
-	hash    uint64
-	running int
-	tight   int
-	backlog byUrgency
-	slots   byUrgency
-	// used is the memory that the requests need, in tokens.
-	used           byUrgency
+	hash           uint64
+	running        int
+	tight          int
+	backlog        byUrgency
+	slots          byUrgency
+	used           int
 	prefillRate    rateEstimate
 	pauses         pauseHistory
 	failures       int
@@ -104,7 +101,6 @@
 		remote:      map[backend.Instance]remoteLoad{},
 		queuedParts: map[backend.Instance][]uint64{},
 		report:      make(chan struct{}, 1),
-		turnouts:    newTurnouts(),
 	}
 }
 
@@ -117,7 +113,6 @@
 	candidates := all
 	jitter := Jitter{Each: minJitterTokens}
 	if len(req.Prompt) > 0 {
-		req.strained = t.isStrained(now, &req)
 		contenders := 1
 		scarce := slotsScarce(candidates)
 		if scarce {
@@ -126,10 +121,6 @@
 		} else {
 			jitter.ByPart = unseenSpread * t.unseenTokens(now, len(servers), req.Urgency)
 		}
-		if refusal := t.admitInOrder(now, candidates, &req); refusal != nil {
-			refusal.Seen = seenAll(candidates, &req)
-			return nil, refusal
-		}
 		if refusal := admitBySlots(t.acceptedShare(now, candidates, &req), &req, t.rnd); refusal != nil {
 			refusal.Seen = seenAll(candidates, &req)
 			return nil, refusal
@@ -140,35 +131,11 @@
 	if i < 0 {
 		return nil, nil
 	}
-	chosen := &candidates[i]
-	if refusal := admit(chosen, &req, t.rnd); refusal != nil {
-		chosen = t.chooseAnother(now, all, &req, jitter)
-		if chosen == nil {
-			refusal.Seen = seenChosen(&candidates[i], all, &req)
-			return nil, refusal
-		}
-	}
-	return t.trackRequest(now, req, chosen), nil
-}
-
-// chooseAnother returns the best server that accepts a request, or nil if there is none. The least urgent requests of
-// a service aren't tried elsewhere: other servers would have to read the parts that the preferred one has cached,
-// which costs all requests more than these gain. The caller must hold t.mu.
-func (t *Tracker) chooseAnother(now time.Time, candidates []Candidate, req *Request, jitter Jitter) *Candidate {
-	if !req.hasLessUrgent() {
-		return nil
-	}
-	var accepting []Candidate
-	for i := range candidates {
-		if !candidates[i].Suspended && candidates[i].accepts(req) {
-			accepting = append(accepting, candidates[i])
-		}
-	}
-	i := Choose(now, accepting, *req, jitter, t.rnd)
-	if i < 0 {
-		return nil
+	if refusal := admit(&candidates[i], &req, t.rnd); refusal != nil {
+		refusal.Seen = seenChosen(&candidates[i], all, &req)
+		return nil, refusal
 	}
-	return &accepting[i]
+	return t.trackRequest(now, req, &candidates[i]), nil
 }
 
 // reservedCount returns the number of servers to reserve for tight requests. The caller must hold
@@ -189,9 +156,8 @@
 		st.wasSilent = silent
 		t.log.Info("server silence detected or ended", "server", s.ID, "silent", silent, "running", st.running, "heard_ms", now.Sub(st.lastActivity).Milliseconds())
 	}
-	slots, backlog := st.slots, st.backlog
+	slots := st.slots
 	slots.add(&others.slots)
-	backlog.add(&others.backlog)
 	c := Candidate{
 		Server:          s,
 		hash:            st.hash,
@@ -200,11 +166,8 @@
 		Running:         float64(st.running) + others.running,
 		Tight:           float64(st.tight) + others.tight,
 		Backlog:         total,
-		Ahead:           backlog.atLeast(req.Urgency),
-		backlog:         backlog,
-		slots:           slots,
-		MemoryUsed:      st.used.total() + others.used.total(),
-		MemoryAhead:     st.used.atLeast(req.Urgency) + others.used.atLeast(req.Urgency),
+		Ahead:           st.backlog.atLeast(req.Urgency) + others.backlog.atLeast(req.Urgency),
+		MemoryUsed:      float64(st.used) + others.used,
 		PrefillRate:     st.prefillRate.orDefault(t.prefillRate.orDefault(defaultPrefillRate)),
 		CachedTokens:    st.cachedTokens(now, req.Prompt),
 		Slowness:        1,
@@ -255,7 +218,7 @@
 	f := &InFlight{
 		tracker: t, Server: s, placedAt: now, tight: req.Tight,
 		pendingTokens: uncached, urgency: req.Urgency, used: int(memoryTokens(&req)),
-		Estimate: Estimate{UncachedTokens: uncached, BacklogTokens: int(c.Ahead), Wait: c.expectedWait(), Running: int(c.Running), MemoryTokens: int(c.MemoryUsed)},
+		Estimate: Estimate{UncachedTokens: uncached, BacklogTokens: int(c.Ahead), Running: int(c.Running), MemoryTokens: int(c.MemoryUsed)},
 	}
 	if st.running == 0 {
 		st.lastActivity = now
@@ -269,7 +232,7 @@
 		t.promptSize.observe(uncached)
 	}
 	st.backlog[f.urgency] += int32(f.pendingTokens)
-	st.used[f.urgency] += int32(f.used)
+	st.used += f.used
 	t.read[req.Urgency].add(now, float64(uncached))
 	if uncached >= earlyReportTokens {
 		t.requestReport()
--- a/placement/urgency.go
+++ b/placement/urgency.go
@@ -35,20 +35,6 @@
 	}
 }
 
-// divide divides a total like the numbers. It counts as least urgent if they are all zero.
-func (b *byUrgency) divide(total int32) byUrgency {
-	var out byUrgency
-	sum, rest := b.total(), total
-	for i, n := range b {
-		if sum > 0 {
-			out[i] = int32(float64(total) * float64(n) / sum)
-		}
-		rest -= out[i]
-	}
-	out[len(out)-1] += rest
-	return out
-}
-
 // encode returns the numbers without trailing zeros.
 func (b *byUrgency) encode() []int32 {
 	n := len(b)
--- a/route/table.go
+++ b/route/table.go
@@ -19,8 +19,6 @@
 	urgencies map[level]int
 	// minGapTargets holds the smallest gap target of each service's streams.
 	minGapTargets map[string]time.Duration
-	// classes holds the classes of each service, the most urgent first.
-	classes map[string][]Class
 	// keyed is set if routes that aren't anonymous require an API key.
 	keyed bool
 }
@@ -43,7 +41,6 @@
 		t.byHost[host] = append(t.byHost[host], &r)
 		t.recordGapTarget(&r)
 	}
-	t.classes = t.compileClasses(c)
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
